--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,5 +1,4 @@
-//! The decision module (its interface is in `src/interface.rs`). Sections: settings, quota (buckets, demand,
-//! totals), servers (health, cold, choice), requests (admit, attempts, finish).
+//! The decision module; its interface is in `src/interface.rs`.
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -33,8 +32,6 @@
 const LOAN: f64 = 0.7;
 /// A further attempt is considered after this many mean answers, within these shares of the aim.
 const PATIENCE: (f64, f64, f64) = (6.0, 0.5, 0.8);
-/// Aims after which an unanswered attempt no longer fills its server's window.
-const LOST_AIM: f64 = 1.0;
 /// Further attempts earned by each request, the most saved up, and the part of one that is earned back when
 /// it is answered in time: where they help, more go out.
 const RETRY: (f64, f64, f64) = (0.1, 10.0, 0.8);
@@ -58,15 +55,17 @@
 /// Attempts a server may have out: at first and at least from all limiters together (a share below one:
 /// one in so many answer times), and at most from this one.
 const WINDOW: (f64, f64, f64) = (4.0, 4.0, 64.0);
-/// A mean answer under the first share of the aim opens the window, over the second closes it by the third.
-const WINDOW_AIM: (f64, f64, f64) = (0.1, 0.25, 0.7);
+/// Least share of the aim that the work itself takes, and the weight of one answer in what it takes.
+const REST: (f64, f64) = (0.09, 0.03);
+/// A mean answer under the first multiple of that opens the window, over the second closes it by the third.
+const WINDOW_LAG: (f64, f64, f64) = (1.1, 2.8, 0.7);
 /// Weight of one try in the share that finds the fleet full, and how far that sheds classes of less worth.
 const PRESS: (f64, f64) = (0.05, 4.0);
 /// Limiters that use a server in turn, and the fewest servers one uses: evidence of many servers is thin.
 const COVER: f64 = 48.0;
 const SUBSET: f64 = 8.0;
-/// Mean answer of the fleet, in aims, up to which its window opens, the steps of that, and its bounds.
-const OPEN_LAG: f64 = 0.18;
+/// Mean answer of the fleet, as such a multiple, up to which its window opens, the steps, and the bounds.
+const OPEN_LAG: f64 = 2.0;
 const OPEN_STEP: (f64, f64) = (1.02, 0.97);
 const OPEN: (f64, f64) = (0.3, 6.0);
 /// Slowness that a server shows by turning work away.
@@ -200,7 +199,7 @@
             counter_try: now,
             call_share: CALLS.0,
             servers: BTreeMap::new(),
-            fleet: Fleet { lag: WINDOW_AIM.1, open: 1.0, ..Fleet::default() },
+            fleet: Fleet { lag: WINDOW_LAG.1 * REST.0, rest: REST.0, open: 1.0, ..Fleet::default() },
             means: set.classes.iter().map(|c| c.aim * FIRST_MEAN).collect(),
             retry_saved: RETRY.1,
             requests: BTreeMap::new(),
@@ -389,8 +388,10 @@
     /// How many more servers may be ejected, and the window over all others.
     spare: f64,
     room: f64,
-    /// Mean answer time of all servers, in aims, and by how much that opens their windows.
+    /// Mean answer time of all servers, in aims, what of that the work itself takes, and by how much that
+    /// opens their windows.
     lag: f64,
+    rest: f64,
     open: f64,
     /// Share of the tries that find the fleet's window full.
     press: f64,
@@ -432,12 +433,11 @@
         {
             s.state = ServerState::Gone;
         }
-        let peers = self.set.peers;
         for e in entries {
-            let s = self.servers.entry(e.id.clone()).or_insert_with(|| Server::new(e, peers, 0));
+            let s = self.servers.entry(e.id.clone()).or_insert_with(|| Server::new(e, self.set.peers, 0));
             if s.started != e.started && e.started.is_some() {
                 // A restarted process has nothing of its former self but what is still out.
-                *s = Server::new(e, peers, s.out);
+                *s = Server::new(e, self.set.peers, s.out);
             }
             s.state = e.state;
             s.weight = if e.weight > 0.0 { e.weight } else { 1.0 };
@@ -461,8 +461,7 @@
         self.fleet.cover = (peers * self.fleet.subset / f64::max(count, 1.0)).max(1.0);
         let used = self.reach().take(self.fleet.subset as usize).map(|id| &self.servers[id]);
         self.fleet.warm = used.filter(|s| s.warmth(&self.set, now) >= 1.0).map(|s| s.weight).sum();
-        let span = self.set.overload_for;
-        self.fleet.sends.retain(|t| now - t <= span);
+        self.fleet.sends.retain(|t| now - t <= self.set.overload_for);
     }
 
     /// The servers in this limiter's order: the limiters start evenly spread over the ring.
@@ -508,18 +507,24 @@
             // Answers alone tell how busy the fleet is: what stays unanswered may be lost, not waiting. Its
             // window grows only where it is used: at a limiter that more requests come to than to others.
             f.lag = fresh(f.lag, took / aim, SLOW_GAIN);
+            // What answers take while the fleet is held back is the work, not waiting, and holding back more
+            // mends it not. Guards against any reason for long work: large requests, a slow back end, tight
+            // aims. Harms where others fill the fleet all along: their queue looks like work.
+            if f.open < 1.0 || f.lag < f.rest {
+                f.rest = fresh(f.rest, took / aim, REST.1).max(REST.0);
+            }
             let full = f64::from(f.out + 2) > f.room * f.open || f.open < 1.0;
-            let step = if f.lag > OPEN_LAG { OPEN_STEP.1 } else { OPEN_STEP.0 };
-            f.open *= if full || step < 1.0 { step } else { 1.0 };
+            let grow = if full { OPEN_STEP.0 } else { 1.0 };
+            f.open *= if f.lag > OPEN_LAG * f.rest { OPEN_STEP.1 } else { grow };
             f.open = f.open.clamp(OPEN.0, OPEN.1);
         }
-        let latency = f.lag * s.slow;
-        if failed || latency > WINDOW_AIM.1 {
+        let latency = f.lag / f.rest * s.slow;
+        if failed || latency > WINDOW_LAG.1 {
             if now - s.cut_at > aim / 2.0 {
-                s.window = (s.window * WINDOW_AIM.2).max(WINDOW.1 / peers);
+                s.window = (s.window * WINDOW_LAG.2).max(WINDOW.1 / peers);
                 s.cut_at = now;
             }
-        } else if latency < WINDOW_AIM.0 && f64::from(s.out + 2) > s.window {
+        } else if latency < WINDOW_LAG.0 && f64::from(s.out + 2) > s.window {
             s.window = (s.window + 0.3 / s.window.max(4.0)).min(WINDOW.2);
         }
     }
@@ -779,8 +784,8 @@
         if late < PATIENCE.1 * aim {
             return;
         }
-        let next = if own_fault { self.now + PERIOD / 10.0 } else { a.sent + LOST_AIM * aim + self.set.tick };
-        if late >= LOST_AIM * aim {
+        let next = if own_fault { self.now + PERIOD / 10.0 } else { a.sent + aim + self.set.tick };
+        if late >= aim {
             return self.write_off(id, n);
         }
         out.push(Action::SetTimer { at: next, token: id * 4 + T_PATIENCE });
@@ -794,9 +799,7 @@
         self.slowness(&server, class, late / usual.max(1e-6), true);
         // One late answer is no silence at a server seen rarely: called off, its work would run for nothing.
         let lost = self.servers.get(&server).is_some_and(|s| s.fails.max(s.late[class].0) >= EJECT.4);
-        if again && self.set.second_copies && n == 0 {
-            self.send_again(id, out);
-        } else if again && lost && !self.set.second_copies && self.set.may_cancel {
+        if again && lost && self.set.may_cancel {
             // Only one may be out: its outcome brings the next attempt.
             out.push(Action::Cancel { id, attempt: n });
         }
@@ -854,14 +857,11 @@
             Outcome::Timeout => self.pace(&server, took, aim, true),
             _ => {}
         }
-        if finished {
+        if finished || was_done {
             self.finish(id, out);
-        } else if !was_done && !self.requests.get(&id).is_some_and(Open::live) && !self.send_again(id, out) {
+        } else if !self.requests.get(&id).is_some_and(Open::live) && !self.send_again(id, out) {
             self.give_up(id, out);
         }
-        if self.requests.get(&id).is_some_and(|r| r.done && !r.live()) {
-            self.requests.remove(&id);
-        }
     }
 
     /// The final answer where no attempt is left: refused if that promise may be given, else failed.
