--- a/src/logic.rs
+++ b/src/logic.rs
@@ -28,8 +28,9 @@
 /// Steps of a counter total below PACK are units used, those above units refused (seven digits are exact).
 const PACK: f64 = 2_000.0;
 const PACK_REFUSED: f64 = 4_999.0;
-/// Share of the plan's burst, as far as its quota is idle, that a bucket of under one request may borrow.
-const LOAN: f64 = 0.7;
+/// As far as the quota is idle: share of the plan's burst that a bucket of under one request may borrow, and
+/// share of its own that any other may.
+const LOAN: (f64, f64) = (0.7, 0.3);
 /// A further attempt is considered after this many mean answers, within these shares of the aim.
 const PATIENCE: (f64, f64, f64) = (6.0, 0.5, 0.8);
 /// Further attempts earned by each request, the most saved up, and the part of one that is earned back when
@@ -158,7 +159,6 @@
 fn limit(quota: f64, width: f64, request: f64, totals: Option<&Totals>) -> f64 {
     let fallback = quota / width.max(1.0);
     let Some(t) = totals.filter(|t| t.all > 0.0) else { return fallback };
-    // Guards against noise: where hardly a request has been counted, the weight leans to the even share.
     let prior = PRIOR * request;
     let weight = (t.own * t.memory + prior / width.max(1.0)) / (t.all * t.memory + prior);
     let weighted = quota * weight.clamp(0.0, 1.0);
@@ -177,9 +177,12 @@
         let (rate, most) = (plan.hard_rate / self.width, plan.hard_burst / self.width);
         self.ceiling = (self.ceiling + rate * (now - self.filled)).min(most);
         self.filled = now;
-        // A bucket of less than one request refuses most however idle the quota (the third objection).
+        // A bucket of less than one request refuses most however idle the quota (the third objection). Others
+        // lag behind load that moves here, a restart and lost calls. Harms where many limiters lend the same
+        // idle units within a period: that goes beyond the quota.
         let idle = known.map_or(0.0, |t| (1.0 - t.used / plan.rate.max(1e-9)).max(0.0));
-        (limit, if burst < units { LOAN * plan.depth * idle } else { 0.0 })
+        let most = if burst < units { LOAN.0 * plan.depth } else { LOAN.1 * burst };
+        (limit, most * idle)
     }
 }
 
@@ -333,9 +336,10 @@
         let plan = &self.set.plans[c.plan];
         let (limit, loan) = c.refill(plan, units, alive, self.now);
         if plan.rate > 0.0 && c.tokens + loan < units {
-            // Where the quota may be idle, the next try will know: it need not wait.
-            let idle = c.totals.is_none() || loan > 0.0;
-            return Err(if idle { 0.0 } else { (units - c.tokens) / limit.max(1e-3) });
+            // Where the quota is idle, the next news of the totals is worth more than the wait for tokens.
+            let wait = (units - c.tokens - loan) / limit.max(1e-3);
+            let most = if loan > 0.0 { (c.next_call - self.now).max(0.0) } else { wait };
+            return Err(if c.totals.is_none() { 0.0 } else { wait.min(most) });
         }
         if plan.hard_rate > 0.0 && c.ceiling < units {
             return Err((units - c.ceiling) / (plan.hard_rate / c.width));
@@ -388,8 +392,7 @@
     /// How many more servers may be ejected, and the window over all others.
     spare: f64,
     room: f64,
-    /// Mean answer time of all servers, in aims, what of that the work itself takes, and by how much that
-    /// opens their windows.
+    /// Mean answer time of all servers, the work's own part of it, both in aims; what opens their windows.
     lag: f64,
     rest: f64,
     open: f64,
@@ -530,8 +533,7 @@
     }
 
     /// Whether a cold server may get one more send from here within the rule's window: what warm ones get,
-    /// by its warmth. A part of one send goes out in that part of the windows, each limiter in its own turn:
-    /// hundreds with one send each would push it over.
+    /// by its warmth. A part of one send goes out in that part of the windows, each limiter in its own turn.
     fn cold_room(&self, id: &ServerId, s: &Server) -> bool {
         let warmth = s.warmth(&self.set, self.now);
         if warmth >= 1.0 {
@@ -675,7 +677,6 @@
                     out.push(Action::Fail { id });
                     self.finish(id, out);
                 }
-                (T_DUE, _) => {}
                 (_, id) => self.impatient(id, out),
             },
         }
@@ -884,9 +885,8 @@
 
     /// Marks a request answered, calls off what is still out, and forgets it once all has reported.
     fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let cancel = self.set.may_cancel;
         let Some(r) = self.requests.get_mut(&id) else { return };
-        if !r.done && cancel && !r.streaming {
+        if !r.done && self.set.may_cancel && !r.streaming {
             for (n, _) in r.attempts.iter().enumerate().filter(|(_, a)| a.live) {
                 out.push(Action::Cancel { id, attempt: n as u32 });
             }
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -80,6 +80,30 @@
     assert!(served >= 4 && served as f64 <= most, "{served} served, {most} at most");
 }
 
+#[test]
+fn a_bucket_that_is_spent_borrows_from_a_quota_that_lies_idle() {
+    let server = Fake::new(|_| ok("served"));
+    let (discovery, counter) = (discovery(vec![instance("s-0", server.address, "in_service")]), counter());
+    let mut settings = settings();
+    settings["family-info"]["count-limit-s"] = json!(5.0);
+    // One of two limiters: a bucket of 80 units, filled by 20 to 40 a second.
+    settings["tariffs"][1] = json!({"name": "small", "rate": 40.0, "depth": 160.0, "pays": 1.0});
+    let limiter = Limiter::start(settings, &discovery, counter.address);
+    let request = || quote("small", 9000).replace("units=1,spread=1", "units=4,spread=2");
+    let mut client = limiter.client();
+    let (mut served, mut filled, began) = (0.0, 0.0, Instant::now());
+    wait_until("more is served than the bucket ever held", || {
+        served += if client.ask(&request()).status() == 200 { 4.0 } else { 0.0 };
+        filled = 40.0 * began.elapsed().as_secs_f64();
+        served > 80.0 + 8.0 + filled
+    });
+    while client.ask(&request()).status() == 200 {
+        served += 4.0;
+    }
+    filled = 40.0 * began.elapsed().as_secs_f64();
+    assert!(served <= 80.0 + 48.0 + filled, "{served} units: no more than that part");
+}
+
 // ----- outcomes -----
 
 /// Has a request meet a fault first; gives the final answer and what all servers saw of it.
