Turn the repository into a workspace: decision, daemon, simulator

Cause: all later work (rehearsal kit, inventory, authorisation) needs crates of its own beside the module and the program, and the tests of one part were built with those of all. The README's example lives on as the doctest of the decision crate.

--- a/src/bin/liftrouter/clients.rs
+++ b/crates/daemon/src/clients.rs
@@ -15,7 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use liftrouter::{RequestId, Settings};
+use liftrouter_decision::{RequestId, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
--- a/src/bin/liftrouter/counter.rs
+++ b/crates/daemon/src/counter.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use liftrouter::{Outcome, Settings};
+use liftrouter_decision::{Outcome, Settings};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/bin/liftrouter/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use liftrouter::{ServerEntry, ServerState};
+use liftrouter_decision::{ServerEntry, ServerState};
 use serde::de::Error;
 use serde::{Deserialize, Deserializer};
 use std::cell::Cell;
--- a/src/bin/liftrouter/host.rs
+++ b/crates/daemon/src/host.rs
@@ -9,7 +9,7 @@
 use crate::servers::{Attempt, Ended, Forward, Place, Servers};
 use bytes::Bytes;
 use hyper::Response;
-use liftrouter::{
+use liftrouter_decision::{
     Action, Event, Limiter, LoadReport, Outcome, Request, RequestId, ServerId, ServerState, Settings,
 };
 use std::cell::{Cell, RefCell};
@@ -315,7 +315,7 @@
             }
             Action::SetTimer { at, token } => {
                 let at = self.clock.instant(at);
-                let first = self.timers.borrow().peek().map_or(true, |Reverse((next, _))| at < *next);
+                let first = self.timers.borrow().peek().is_none_or(|Reverse((next, _))| at < *next);
                 self.timers.borrow_mut().push(Reverse((at, token)));
                 if first {
                     self.sooner.notify_one();
--- a/src/bin/liftrouter/main.rs
+++ b/crates/daemon/src/main.rs
@@ -16,7 +16,7 @@
 use counter::Counter;
 use discovery::{Discovery, Update};
 use host::Host;
-use liftrouter::Settings;
+use liftrouter_decision::Settings;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use servers::Servers;
--- a/src/bin/liftrouter/request.rs
+++ b/crates/daemon/src/request.rs
@@ -7,7 +7,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Method, StatusCode};
-use liftrouter::{Class, Effect, Settings};
+use liftrouter_decision::{Class, Effect, Settings};
 use std::time::Duration;
 
 const METERING: HeaderName = HeaderName::from_static("x-metering");
--- a/src/bin/liftrouter/servers.rs
+++ b/crates/daemon/src/servers.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use liftrouter::{LoadReport, Outcome, RequestId, ServerId, ServerState, Settings};
+use liftrouter_decision::{LoadReport, Outcome, RequestId, ServerId, ServerState, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -1,7 +1,7 @@
 //! The real binary and servers whose answers are spoilt, or bring more than belongs to them.
 mod common;
 
-use common::sockets::*;
+use common::*;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
--- a/tests/common/sockets.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! Small fakes on loopback sockets, and the real binary between them.
+#![allow(dead_code)]
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
--- a/tests/pressure.rs
+++ b/crates/daemon/tests/pressure.rs
@@ -1,7 +1,7 @@
 //! The real binary before servers whose answers take long: by their own length, or because they wait.
 mod common;
 
-use common::sockets::*;
+use common::*;
 use serde_json::json;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
--- a/tests/program.rs
+++ b/crates/daemon/tests/program.rs
@@ -1,7 +1,7 @@
 //! The real binary over loopback sockets, between small fakes.
 mod common;
 
-use common::sockets::*;
+use common::*;
 use serde_json::json;
 use std::net::{SocketAddr, TcpStream};
 use std::process::Stdio;
--- a/tests/signals.rs
+++ b/crates/daemon/tests/signals.rs
@@ -1,7 +1,7 @@
 //! The real binary and its signals, over loopback sockets between small fakes.
 mod common;
 
-use common::sockets::*;
+use common::*;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -6,7 +6,7 @@
 //! service; each decides every request from what it has itself seen.
 //!
 //! ```
-//! use liftrouter::{Action, Event, Limiter, Settings};
+//! use liftrouter_decision::{Action, Event, Limiter, Settings};
 //!
 //! let mut limiter = Limiter::new(Settings::default(), 7, 0.0);
 //! let mut actions: Vec<Action> = Vec::new();
@@ -15,11 +15,6 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-/// The README's example, kept compiling.
-#[cfg(doctest)]
-#[doc = include_str!("../README.md")]
-struct ReadmeExample;
-
 mod interface;
 mod logic;
 mod settings;
--- a/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -1,4 +1,4 @@
-//! The decision module; its interface is in `src/interface.rs`.
+//! The decision module; its interface is in `interface.rs`.
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -557,7 +557,7 @@
         let named = self.reach().map(|id| (id, &self.servers[id]));
         for (id, s) in named.filter(|(_, s)| s.state == ServerState::InService && self.in_group(req, s)) {
             if s.ejected_until > now {
-                let sooner = s.out == 0 && last.map_or(true, |(t, _)| s.ejected_until < t);
+                let sooner = s.out == 0 && last.is_none_or(|(t, _)| s.ejected_until < t);
                 last = if sooner { Some((s.ejected_until, id)) } else { last };
                 continue;
             }
@@ -582,7 +582,7 @@
             let tried = req.attempts.iter().any(|a| a.server == *id);
             score *= f64::from(1 + s.fails) * if tried { TRIED } else { 1.0 };
             score *= 1.0 + JITTER * (draw + GOLDEN * looked).fract();
-            best = if best.map_or(true, |(b, _)| score < b) { Some((score, id)) } else { best };
+            best = if best.is_none_or(|(b, _)| score < b) { Some((score, id)) } else { best };
         }
         // With every server ejected the least suspect still gets some: a wrong guess must not stop all.
         best.or(if looked > 0.0 { None } else { last }).map(|(_, id)| id.clone())
@@ -592,7 +592,7 @@
     fn in_group(&self, req: &Open, s: &Server) -> bool {
         let class = &self.set.classes[req.class];
         let first = req.attempts.iter().find(|a| a.may_have_run && class.effect == Effect::Keyed);
-        first.map_or(true, |a| match class.scope {
+        first.is_none_or(|a| match class.scope {
             Scope::All => true,
             Scope::Zone => a.zone == s.zone,
             Scope::Cell => a.zone == s.zone && a.cell == s.cell,
@@ -758,7 +758,7 @@
             Effect::NonIdempotent => !r.may_have_run(),
             Effect::Keyed => {
                 let ends = |a: &Attempt| a.sent + class.window * KEYED_SHARE - self.set.tick * 2.0;
-                r.attempts.iter().find(|a| a.may_have_run).map_or(true, |a| self.now < ends(a))
+                r.attempts.iter().find(|a| a.may_have_run).is_none_or(|a| self.now < ends(a))
             }
         }
     }
--- a/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -1,8 +1,7 @@
 //! A scripted host for one limiter.
 #![allow(dead_code)]
-pub mod sockets;
 
-use liftrouter::*;
+use liftrouter_decision::*;
 use std::sync::Arc;
 
 pub const A: &str = "10.0.0.1:1";
--- a/tests/quota.rs
+++ b/crates/decision/tests/quota.rs
@@ -1,7 +1,7 @@
 //! Buckets, the limit, counter totals, settlement and the ceiling, on scripted events.
 mod common;
 use common::*;
-use liftrouter::*;
+use liftrouter_decision::*;
 
 /// Feeds the limiter a customer's demand for some seconds; the counter answers that all limiters together
 /// had `all` times its demand and `used` of it was accepted (per unit of own demand).
--- a/tests/requests.rs
+++ b/crates/decision/tests/requests.rs
@@ -1,7 +1,7 @@
 //! One final answer on every path, and how far each effect class may be repeated.
 mod common;
 use common::*;
-use liftrouter::*;
+use liftrouter_decision::*;
 
 fn timer_of(out: &[Action], id: u64, kind: u64) -> Option<(f64, u64)> {
     out.iter().find_map(|a| match a {
--- a/tests/servers.rs
+++ b/crates/decision/tests/servers.rs
@@ -1,7 +1,7 @@
 //! Drains, cold servers, ejection, the bound on what is out.
 mod common;
 use common::*;
-use liftrouter::*;
+use liftrouter_decision::*;
 
 #[test]
 fn drained_and_missing_servers_get_nothing_new() {
--- a/src/bin/liftrouter-sim/main.rs
+++ b/crates/simulator/src/main.rs
@@ -4,7 +4,7 @@
 
 mod wire;
 
-use liftrouter::{Action, Limiter};
+use liftrouter_decision::{Action, Limiter};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -85,7 +85,7 @@
     hosted: &mut Hosted,
     instance: u32,
     now: f64,
-    event: liftrouter::Event,
+    event: liftrouter_decision::Event,
     output: &mut impl Write,
 ) -> Result<(), String> {
     let Some(limiter) = hosted.get_mut(&instance) else { return Ok(()) };
--- a/src/bin/liftrouter-sim/wire.rs
+++ b/crates/simulator/src/wire.rs
@@ -1,6 +1,6 @@
 //! The wire's words: lines to events and settings, actions to lines.
 
-use liftrouter::{Action, Event, LoadReport, Outcome, Request, ServerEntry, ServerState, Settings};
+use liftrouter_decision::{Action, Event, LoadReport, Outcome, Request, ServerEntry, ServerState, Settings};
 use std::io::{self, Write};
 use std::sync::Arc;
 
