Cut the decision module into quota, fleet and life under policy/

Need: the module was one file whose Limiter had a 570-line impl over the state of everything; what comes next (permissions without a send, keeper judgement, plans that change) touches one part of it each. Change: policy/quota.rs (buckets, demand, counter, ceiling, caps), policy/fleet.rs (health, cold, choice) and policy/life.rs (admission, attempts, the one answer) hold their own state; life calls the other two, which know nobody. policy/mod.rs feeds events in. Settings and time come as one View.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -16,8 +16,8 @@
 #![warn(missing_docs)]
 
 mod interface;
-mod logic;
+mod policy;
 mod settings;
 
 pub use interface::*;
-pub use logic::Limiter;
+pub use policy::Limiter;
