Parts report to one inbox that the host drains; the circle around the host is gone

Need: clients, servers, counter and discovery held the host and called into it, the host held them: no part could be read, tested or replaced alone, and every borrow had to be checked for re-entry. Change: inbox.rs holds what parts report (Asked, ClientGone, AttemptEnded, Counted, Probed, Listed, ListBroken); fronts/, peers/ and membership/ know it and not the host. The host is one task that owns module, timers and request table without cells, takes news in their order and keeps one timer instead of a new one for each wait. What follows at once from an action waits in the host's queue as before. A front whose request was answered reports nothing any more.

--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/fronts/head.rs
@@ -3,7 +3,8 @@
 //! What is refused here reaches neither the module, whose totals go by customer, nor a server. It must stay
 //! cheap: nothing is kept or logged of it, since the same junk may come again at full speed.
 
-use crate::servers::{CORRELATION_ID, IDEMPOTENCY_KEY, TIME_LEFT};
+use crate::number::read_number;
+use crate::peers::servers::{CORRELATION_ID, IDEMPOTENCY_KEY, TIME_LEFT};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Method, StatusCode};
@@ -100,12 +101,6 @@
         && head.headers.iter().all(|h| !h.name.eq_ignore_ascii_case(CONTENT_LENGTH.as_str()))
 }
 
-/// Plain digits with at most one point: what else `f64` reads (signs, exponents, infinity) is no number here.
-pub fn read_number(text: &str) -> Option<f64> {
-    let plain = text.len() <= 20 && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
-    text.parse::<f64>().ok().filter(|n| plain && n.is_finite())
-}
-
 /// A number and a unit: `480m` milliseconds or `1500u` microseconds. No client waits longer than its class.
 fn read_time_left(text: &str, class: &Class) -> Option<Duration> {
     let (scale, number) = match (text.strip_suffix('m'), text.strip_suffix('u')) {
--- a/crates/daemon/src/clients.rs
+++ b/crates/daemon/src/fronts/http.rs
@@ -2,11 +2,11 @@
 //!
 //! What is malformed is answered here and reaches neither the module nor a server.
 
-use crate::host::{Answer, Arrival, Host};
-use crate::link::{Socket, Tracked, MAX_BODY};
+use super::head::{check, Rejected, REPEAT};
+use crate::inbox::{Answer, Arrival, Forward, Inbox, News};
 use crate::log;
-use crate::request::{check, Rejected, REPEAT};
-use crate::servers::{Forward, IDEMPOTENCY_KEY};
+use crate::peers::link::{Socket, Tracked, MAX_BODY};
+use crate::peers::servers::IDEMPOTENCY_KEY;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -52,7 +52,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 pub struct Clients {
-    host: Rc<Host>,
+    inbox: Rc<Inbox>,
     settings: Settings,
     /// The most connections; the one that is idle longest gives way to a new one.
     budget: usize,
@@ -97,9 +97,9 @@
 type Reply = Response<Full<Bytes>>;
 
 impl Clients {
-    pub fn new(host: Rc<Host>, settings: Settings, budget: usize, body_budget: usize) -> Rc<Self> {
+    pub fn new(inbox: Rc<Inbox>, settings: Settings, budget: usize, body_budget: usize) -> Rc<Self> {
         Rc::new(Clients {
-            host,
+            inbox,
             settings,
             budget,
             body_budget,
@@ -295,7 +295,7 @@
         } else {
             MOST_OPEN
         });
-        if self.host.open_requests() >= most {
+        if self.inbox.open_requests() >= most {
             return Err(Rejected(StatusCode::SERVICE_UNAVAILABLE, "too many requests are open\n"));
         }
         // The last byte has come: from here on the request is taken and owed one answer.
@@ -324,10 +324,12 @@
                 due,
             },
         };
-        let (id, answer) = self.host.arrived(arrival);
+        let (id, answer) = self.inbox.ask(arrival);
         // Dropped before the answer has come, this future belongs to a client that left.
-        let _gone = Gone { host: self.host.clone(), id };
-        Ok(match answer.await {
+        let gone = Gone { inbox: &self.inbox, id: Some(id) };
+        let answer = answer.await;
+        gone.answered();
+        Ok(match answer {
             Ok(Answer::Served(answer)) => {
                 let (head, body) = answer.into_parts();
                 let mut reply = Response::new(Full::new(body));
@@ -406,14 +408,22 @@
     }
 }
 
-/// Tells the host that a client left, unless its request has been answered.
-struct Gone {
-    host: Rc<Host>,
-    id: RequestId,
+/// Reports that a client left, unless its request has been answered.
+struct Gone<'a> {
+    inbox: &'a Inbox,
+    id: Option<RequestId>,
 }
 
-impl Drop for Gone {
+impl Gone<'_> {
+    fn answered(mut self) {
+        self.id = None;
+    }
+}
+
+impl Drop for Gone<'_> {
     fn drop(&mut self) {
-        self.host.client_gone(self.id);
+        if let Some(id) = self.id {
+            self.inbox.push(News::ClientGone(id));
+        }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/fronts/mod.rs
@@ -0,0 +1,4 @@
+//! Fronts: where clients ask. A front reads and checks, asks through the inbox, and writes the one answer.
+
+pub mod head;
+pub mod http;
--- /dev/null
+++ b/crates/daemon/src/host/mod.rs
@@ -0,0 +1,300 @@
+//! The host of the decision module: takes the news one by one, tells the module, and carries out its actions.
+//!
+//! It owns the [`Limiter`], the clock, the timers and the table of requests; nothing else calls the module.
+//! One task runs it, so an action whose outcome is known at once never re-enters the module: what follows
+//! from it waits in the host's own queue and comes before the next news.
+
+mod clock;
+
+use crate::inbox::{Answer, Arrival, Ended, Forward, Inbox, Listed, News};
+use crate::membership::discovery::Discovery;
+use crate::peers::keeper::Keeper;
+use crate::peers::servers::{Attempt, Place, Servers};
+use clock::Clock;
+use liftrouter_decision::{
+    Action, Event, Limiter, LoadReport, Outcome, Request, RequestId, ServerId, ServerState, Settings,
+};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep_until, Instant};
+
+/// What the host calls to carry actions out.
+pub struct Peers {
+    pub servers: Rc<Servers>,
+    pub keeper: Rc<Keeper>,
+    pub list: Rc<Discovery>,
+}
+
+struct Running {
+    server: ServerId,
+    began: Instant,
+    attempt: Rc<Attempt>,
+    task: JoinHandle<()>,
+}
+
+/// A request in the table: until it is answered and none of its attempts is out.
+struct Open {
+    forward: Rc<Forward>,
+    reply: Option<oneshot::Sender<Answer>>,
+    attempts: u32,
+    /// The attempt that is out, with its number; there is one at most.
+    running: Option<(u32, Running)>,
+}
+
+pub struct Host {
+    limiter: Limiter,
+    clock: Clock,
+    inbox: Rc<Inbox>,
+    peers: Peers,
+    /// What followed from actions and is still to be told.
+    queue: VecDeque<Event>,
+    requests: HashMap<RequestId, Open>,
+    timers: BinaryHeap<Reverse<(Instant, u64)>>,
+    max_attempts: u32,
+}
+
+impl Host {
+    pub fn new(settings: Settings, seed: u64, inbox: Rc<Inbox>, peers: Peers) -> Self {
+        let clock = Clock::start();
+        let now = clock.seconds(Instant::now());
+        Host {
+            max_attempts: settings.max_attempts.max(1),
+            limiter: Limiter::new(settings, seed, now),
+            clock,
+            inbox,
+            peers,
+            queue: VecDeque::new(),
+            requests: HashMap::new(),
+            timers: BinaryHeap::new(),
+        }
+    }
+
+    /// Runs for as long as it is polled.
+    pub async fn run(mut self) {
+        // With no timer set there is nothing to wake up for but news.
+        let far = || Instant::now() + Duration::from_secs(3_600);
+        let inbox = self.inbox.clone();
+        let mut sleep = pin!(sleep_until(far()));
+        loop {
+            while let Some(news) = inbox.take() {
+                self.hear(news);
+            }
+            let next = self.timers.peek().map_or_else(far, |Reverse((at, _))| *at);
+            if sleep.deadline() != next {
+                sleep.as_mut().reset(next);
+            }
+            tokio::select! {
+                () = inbox.some() => {}
+                () = sleep.as_mut() => self.timers_due(),
+            }
+        }
+    }
+
+    // ----- what happened -----
+
+    fn hear(&mut self, news: News) {
+        match news {
+            News::Asked(id, arrival, reply) => self.asked(id, arrival, reply),
+            News::ClientGone(id) => {
+                if self.requests.get_mut(&id).is_some_and(|open| open.reply.take().is_some()) {
+                    self.feed(Event::ClientGone { id });
+                    self.forget(id);
+                }
+            }
+            News::AttemptEnded(id, n, ended) => {
+                self.attempt_ended(id, n, ended);
+                self.work_off();
+            }
+            News::Counted { name, outcome, total, took } => {
+                self.feed(Event::Counted { name, outcome, total, took: took.as_secs_f64() });
+            }
+            News::Probed(server, outcome, report) => self.feed(Event::Probed { server, outcome, report }),
+            News::Listed { whole, servers } => self.listed(whole, servers),
+            News::ListBroken => self.feed(Event::DiscoveryBroken),
+        }
+    }
+
+    fn asked(&mut self, id: RequestId, arrival: Arrival, reply: oneshot::Sender<Answer>) {
+        let due = self.clock.seconds(arrival.forward.due);
+        let open = Open { forward: Rc::new(arrival.forward), reply: Some(reply), attempts: 0, running: None };
+        self.requests.insert(id, open);
+        self.feed(Event::Request(Request {
+            id,
+            customer: arrival.customer.into(),
+            plan: arrival.plan.into(),
+            class: arrival.class.into(),
+            units: arrival.units,
+            width: arrival.width,
+            repeat: arrival.repeat,
+            due,
+        }));
+    }
+
+    fn attempt_ended(&mut self, id: RequestId, n: u32, ended: Ended) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some((_, running)) = open.running.take_if(|(number, _)| *number == n) else { return };
+        if let Some(answer) = ended.answer {
+            if let Some(reply) = open.reply.take() {
+                let _ = reply.send(Answer::Served(answer));
+            }
+        }
+        self.queue.push_back(Event::AttemptEnded {
+            id,
+            attempt: n,
+            finished: open.reply.is_none(),
+            outcome: ended.outcome,
+            took: running.began.elapsed().as_secs_f64(),
+            units: ended.units,
+            report: ended.report,
+        });
+        self.forget(id);
+    }
+
+    /// News of the servers. What is out at one that is gone is ended, and what has not been written yet to
+    /// one that drains: neither may get anything new.
+    fn listed(&mut self, whole: bool, listed: Vec<Listed>) {
+        let (mut gone, mut draining): (Vec<ServerId>, Vec<ServerId>) = Default::default();
+        for Listed { entry, address } in &listed {
+            self.peers.servers.place(&entry.id, Place { address: *address, state: entry.state });
+            match entry.state {
+                ServerState::InService => {}
+                ServerState::Draining => draining.push(entry.id.clone()),
+                ServerState::Gone => gone.push(entry.id.clone()),
+            }
+        }
+        if whole {
+            let missing = |id: &ServerId| listed.iter().all(|l| l.entry.id != *id);
+            for id in self.peers.servers.ids().into_iter().filter(missing) {
+                self.peers.servers.remove(&id);
+                gone.push(id);
+            }
+        }
+        // The module first: what it hears of the ended attempts it answers with others.
+        let entries = listed.into_iter().map(|l| l.entry).collect();
+        self.feed(if whole { Event::ServerList(entries) } else { Event::ServerChanges(entries) });
+        let running = self.requests.iter().filter_map(|(id, open)| Some((*id, open.running.as_ref()?)));
+        let lost = running.filter(|(_, (_, r))| {
+            gone.contains(&r.server) || (draining.contains(&r.server) && !r.attempt.sent())
+        });
+        let lost: Vec<_> = lost.map(|(id, (n, r))| (id, *n, r.attempt.sent())).collect();
+        for (id, n, sent) in lost {
+            self.stop(id, n);
+            self.attempt_ended(id, n, Ended::of(if sent { Outcome::Reset } else { Outcome::ConnectFailed }));
+            self.work_off();
+        }
+    }
+
+    /// Wakes the module at the times it asked for. Those set meanwhile wait for the next round: a timer never
+    /// falls due in the round that set it.
+    fn timers_due(&mut self) {
+        let now = Instant::now();
+        let mut due = Vec::new();
+        while let Some(Reverse((_, token))) = self.timers.peek().filter(|Reverse((at, _))| *at <= now) {
+            due.push(*token);
+            self.timers.pop();
+        }
+        for token in due {
+            self.feed(Event::Timer { token });
+        }
+    }
+
+    // ----- what is to be done -----
+
+    fn feed(&mut self, event: Event) {
+        self.queue.push_back(event);
+        self.work_off();
+    }
+
+    fn work_off(&mut self) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.queue.pop_front() {
+            let now = self.clock.seconds(Instant::now());
+            self.limiter.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused(retry_after)),
+            Action::Fail { id } => self.answer(id, Answer::Failed),
+            Action::Cancel { id, attempt } => {
+                if self.stop(id, attempt) {
+                    self.attempt_ended(id, attempt, Ended::of(Outcome::Cancelled));
+                }
+            }
+            Action::Count { name, add, lives } => {
+                if let Err(outcome) = self.peers.keeper.call(&self.inbox, name.clone(), add, lives) {
+                    self.queue.push_back(Event::Counted { name, outcome, total: 0.0, took: 0.0 });
+                }
+            }
+            Action::SetTimer { at, token } => self.timers.push(Reverse((self.clock.instant(at), token))),
+            Action::Probe { server } => {
+                tokio::task::spawn_local(self.peers.servers.clone().probe(self.inbox.clone(), server));
+            }
+            Action::FollowServers => self.peers.list.follow.notify_one(),
+        }
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId, timeout: f64) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let n = open.attempts;
+        open.attempts += 1;
+        // Guards the rules even against the module: nothing for a request that is answered, never two
+        // attempts at once, and no more than the class permits.
+        if open.reply.is_none() || open.running.is_some() || n >= self.max_attempts || timeout < 0.0 {
+            return self.queue.push_back(Event::AttemptEnded {
+                id,
+                attempt: n,
+                finished: false,
+                outcome: Outcome::Moot,
+                took: 0.0,
+                units: None,
+                report: LoadReport::default(),
+            });
+        }
+        let (began, due) = (Instant::now(), open.forward.due);
+        let limit =
+            if timeout > 0.0 { began + Duration::from_secs_f64(timeout.min(1e6)) } else { due }.min(due);
+        let attempt = Rc::new(Attempt::default());
+        let task = tokio::task::spawn_local(self.peers.servers.clone().attempt(
+            self.inbox.clone(),
+            (id, n),
+            server.clone(),
+            (open.forward.clone(), attempt.clone()),
+            limit,
+        ));
+        open.running = Some((n, Running { server, began, attempt, task }));
+    }
+
+    /// Ends an attempt at once: its connection is closed when this returns, and its task runs no further.
+    fn stop(&self, id: RequestId, n: u32) -> bool {
+        let running = self.requests.get(&id).and_then(|open| open.running.as_ref());
+        let Some((_, running)) = running.filter(|(number, _)| *number == n) else { return false };
+        running.attempt.abort();
+        running.task.abort();
+        true
+    }
+
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        if let Some(reply) = self.requests.get_mut(&id).and_then(|open| open.reply.take()) {
+            let _ = reply.send(answer);
+        }
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|open| open.reply.is_none() && open.running.is_none()) {
+            self.requests.remove(&id);
+            self.inbox.closed();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/inbox.rs
@@ -0,0 +1,138 @@
+//! The inbox: what every part of the daemon reports, and the host alone takes out.
+//!
+//! Fronts, peers and membership hold a handle and push; none of them knows the host. News are taken in the
+//! order in which they were pushed. Everything runs on one thread, so there is no lock.
+
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, Response};
+use liftrouter_decision::{LoadReport, Outcome, RequestId, ServerEntry, ServerId};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{oneshot, Notify};
+use tokio::time::Instant;
+
+/// The one final answer to a request.
+pub enum Answer {
+    /// A server's answer, whole.
+    Served(Response<Bytes>),
+    /// Trying again is harmless; the client should stay away for so many seconds, or is given no advice.
+    Refused(f64),
+    /// No promise of its effect.
+    Failed,
+}
+
+/// A client's request as the module needs it, and what goes on to a server.
+pub struct Arrival {
+    pub customer: String,
+    pub plan: String,
+    pub class: String,
+    pub units: f64,
+    pub width: u32,
+    pub repeat: bool,
+    pub forward: Forward,
+}
+
+/// The part of a client's request that goes on unchanged.
+pub struct Forward {
+    pub method: Method,
+    pub target: PathAndQuery,
+    pub correlation_id: HeaderValue,
+    pub idempotency_key: Option<HeaderValue>,
+    pub content_type: Option<HeaderValue>,
+    pub body: Bytes,
+    /// When the answer has to be written.
+    pub due: Instant,
+}
+
+/// How an attempt ended, as the module is told, and the answer where it was served.
+pub struct Ended {
+    pub outcome: Outcome,
+    pub units: Option<f64>,
+    pub report: LoadReport,
+    pub answer: Option<Response<Bytes>>,
+}
+
+impl Ended {
+    pub fn of(outcome: Outcome) -> Self {
+        Ended { outcome, units: None, report: LoadReport::default(), answer: None }
+    }
+}
+
+/// A server in the list: what the module is to know, and where it listens.
+pub struct Listed {
+    pub entry: ServerEntry,
+    pub address: SocketAddr,
+}
+
+/// What happened.
+pub enum News {
+    /// A request whose last byte has come, and where its one answer goes.
+    Asked(RequestId, Arrival, oneshot::Sender<Answer>),
+    /// The client closed its connection before it was answered.
+    ClientGone(RequestId),
+    /// An attempt has ended, and with it its use of a connection unless that can serve again.
+    AttemptEnded(RequestId, u32, Ended),
+    /// The answer to a call of the keeper.
+    Counted { name: String, outcome: Outcome, total: f64, took: Duration },
+    /// The answer to a probe.
+    Probed(ServerId, Outcome, LoadReport),
+    /// The whole list of servers, or what changed in it.
+    Listed { whole: bool, servers: Vec<Listed> },
+    /// The list can no longer be followed.
+    ListBroken,
+}
+
+/// The inbox, shared by handle.
+#[derive(Default)]
+pub struct Inbox {
+    news: RefCell<VecDeque<News>>,
+    some: Notify,
+    last_id: Cell<RequestId>,
+    open: Cell<usize>,
+}
+
+impl Inbox {
+    pub fn new() -> Rc<Self> {
+        Rc::default()
+    }
+
+    pub fn push(&self, news: News) {
+        self.news.borrow_mut().push_back(news);
+        self.some.notify_one();
+    }
+
+    /// Puts a request in; the receiver gets its one answer.
+    pub fn ask(&self, arrival: Arrival) -> (RequestId, oneshot::Receiver<Answer>) {
+        let id = self.last_id.get() + 1;
+        self.last_id.set(id);
+        self.open.set(self.open.get() + 1);
+        let (reply, answer) = oneshot::channel();
+        self.push(News::Asked(id, arrival, reply));
+        (id, answer)
+    }
+
+    /// Requests that were asked and are not over yet.
+    pub fn open_requests(&self) -> usize {
+        self.open.get()
+    }
+
+    /// For the host: a request is over.
+    pub fn closed(&self) {
+        self.open.set(self.open.get().saturating_sub(1));
+    }
+
+    /// For the host: the oldest news.
+    pub fn take(&self) -> Option<News> {
+        self.news.borrow_mut().pop_front()
+    }
+
+    /// For the host: waits until there may be news.
+    pub async fn some(&self) {
+        self.some.notified().await;
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,22 +4,22 @@
 //! SIGHUP, and ends them on SIGTERM.
 #![forbid(unsafe_code)]
 
-mod clients;
-mod counter;
-mod discovery;
+mod fronts;
 mod host;
-mod link;
-mod request;
-mod servers;
-
-use clients::Clients;
-use counter::Counter;
-use discovery::{Discovery, Update};
-use host::Host;
+mod inbox;
+mod membership;
+mod number;
+mod peers;
+
+use fronts::http::Clients;
+use host::{Host, Peers};
+use inbox::Inbox;
 use liftrouter_decision::Settings;
+use membership::discovery::{Discovery, Update};
+use peers::keeper::{self, Keeper};
+use peers::servers::Servers;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
-use servers::Servers;
 use std::fmt::Display;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -138,7 +138,7 @@
 /// Takes the addresses of discovery and counter from the file anew at each SIGHUP. The environment tells what
 /// held at the start, so the file holds before it here. Signals that come meanwhile are not lost: they count
 /// as one more.
-async fn reload(mut hangup: Signal, path: String, host: Rc<Host>) {
+async fn reload(mut hangup: Signal, path: String, list: Rc<Discovery>, keeper: Rc<Keeper>) {
     while hangup.recv().await.is_some() {
         let Addresses { discovery, counter } = match read_file(&path) {
             Ok(addresses) => addresses,
@@ -150,10 +150,10 @@
         };
         log("liftrouter", format_args!("SIGHUP: discovery {discovery:?}, counter {counter:?}"));
         if let Some(address) = discovery {
-            host.discovery().move_to(address);
+            list.move_to(address);
         }
         if let Some(address) = counter {
-            host.counter().move_to(address);
+            keeper.move_to(address);
         }
     }
 }
@@ -168,53 +168,53 @@
 
     // Each request may hold two sockets, one to its client and one to a server.
     let sockets = config.limits.sockets.unwrap_or(SOCKETS_DEFAULT);
-    let budget = sockets.saturating_sub(RESERVE + counter::CALLS).max(2);
+    let budget = sockets.saturating_sub(RESERVE + keeper::CALLS).max(2);
     let longest = settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
     // The seed is 16 hex digits; any other text is as good a seed, and none is one too.
     let seed = u64::from_str_radix(&config.seed, 16)
         .unwrap_or_else(|_| config.seed.bytes().fold(0, |seed: u64, b| seed.wrapping_mul(31) ^ u64::from(b)));
-    let servers = Servers::new(&settings, budget / 2);
-    let counter = Counter::new(config.counter, &settings);
-    let host = Host::new(settings.clone(), seed, servers, counter, Discovery::new(discovery));
+    let inbox = Inbox::new();
+    let servers = Rc::new(Servers::new(&settings, budget / 2));
+    let keeper = Rc::new(Keeper::new(config.counter, &settings));
+    let list = Rc::new(Discovery::new(discovery));
+    let peers = Peers { servers: servers.clone(), keeper: keeper.clone(), list: list.clone() };
+    let host = Host::new(settings.clone(), seed, inbox.clone(), peers);
     let memory = config.limits.memory_mb.filter(|mb| *mb > 0.0).unwrap_or(MEMORY_MB_DEFAULT);
     let bodies = (memory * BODY_SHARE * 1024.0 * 1024.0) as usize;
-    let clients = Clients::new(host.clone(), settings, budget - budget / 2, bodies);
+    let clients = Clients::new(inbox.clone(), settings, budget - budget / 2, bodies);
 
-    spawn_local(host.clone().run_timers());
-    spawn_local({
-        let servers = host.servers().clone();
-        async move { servers.sweep().await }
-    });
+    spawn_local(host.run());
+    spawn_local(async move { servers.sweep().await });
     let after = config.known.as_ref().map(|known| known.generation);
     if let Some(mut known) = config.known {
         known.reset = true;
-        host.servers_listed(&known);
+        inbox.push(known.news());
     }
-    spawn_local(host.discovery().clone().watch(host.clone(), after));
-    spawn_local(reload(hangup, path, host.clone()));
+    spawn_local(list.clone().watch(inbox.clone(), after));
+    spawn_local(reload(hangup, path, list.clone(), keeper));
     let accepting = spawn_local({
         let clients = clients.clone();
         async move { clients.accept(listener).await }
     });
     log("liftrouter", format_args!("listening on {bound}"));
     spawn_local({
-        let (host, clients) = (host.clone(), clients.clone());
+        let clients = clients.clone();
         async move {
             // The list at hand may be old: the first clients should meet a fresh one.
-            let _ = timeout(FIRST_NEWS, host.discovery().heard()).await;
+            let _ = timeout(FIRST_NEWS, list.heard()).await;
             clients.set_ready();
         }
     });
 
     terminated.recv().await;
-    log("liftrouter", format_args!("SIGTERM: finishing {} requests", host.open_requests()));
+    log("liftrouter", format_args!("SIGTERM: finishing {} requests", inbox.open_requests()));
     clients.drain();
     tokio::time::sleep(ACCEPT_ON).await;
     let rest = Duration::from_secs_f64(longest.clamp(0.0, 60.0)) + FINISH;
     // Connections that are left then carry no request, or one that has not come whole.
     let _ = timeout(rest, clients.all_closed()).await;
     accepting.abort();
-    match host.open_requests() {
+    match inbox.open_requests() {
         0 => Ok(()),
         left => Err(format!("{left} requests were left open")),
     }
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/membership/discovery.rs
@@ -1,8 +1,8 @@
 //! Discovery: follows the list of servers on a watch, and takes it up again where it broke.
 
-use crate::host::Host;
-use crate::link::Link;
+use crate::inbox::{Inbox, Listed, News};
 use crate::log;
+use crate::peers::link::Link;
 use bytes::BytesMut;
 use http_body_util::{BodyExt, Full};
 use hyper::header::HOST;
@@ -38,6 +38,14 @@
     pub instances: Vec<Instance>,
 }
 
+impl Update {
+    /// What it tells the host.
+    pub fn news(self) -> News {
+        let listed = |i: Instance| Listed { entry: i.entry(), address: i.host_port };
+        News::Listed { whole: self.reset, servers: self.instances.into_iter().map(listed).collect() }
+    }
+}
+
 /// The entries that can be read. One that cannot must not hide the others: asked for again, the line would be
 /// the same.
 fn readable<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Instance>, D::Error> {
@@ -60,8 +68,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Instance {
-    pub instance_id: String,
-    pub host_port: SocketAddr,
+    instance_id: String,
+    host_port: SocketAddr,
     #[serde(default)]
     zone: String,
     #[serde(default)]
@@ -75,7 +83,7 @@
 
 impl Instance {
     /// The same as the module knows it.
-    pub fn entry(&self) -> ServerEntry {
+    fn entry(&self) -> ServerEntry {
         ServerEntry {
             id: self.instance_id.as_str().into(),
             zone: self.zone.as_str().into(),
@@ -127,16 +135,16 @@
         self.heard.notified().await;
     }
 
-    /// Follows the list for as long as the program runs, from the version that the host starts with.
-    pub async fn watch(self: Rc<Self>, host: Rc<Host>, mut after: Option<u64>) {
+    /// Follows the list for as long as the program runs, from the version that is known at the start.
+    pub async fn watch(self: Rc<Self>, inbox: Rc<Inbox>, mut after: Option<u64>) {
         let mut fruitless = 0;
         loop {
             let before = after;
             let broken = async {
-                let Err(why) = self.watch_once(&host, self.address.get(), &mut after).await;
+                let Err(why) = self.watch_once(&inbox, self.address.get(), &mut after).await;
                 fruitless = if after == before { fruitless + 1 } else { 0 };
                 log("discovery", &why);
-                host.discovery_broken();
+                inbox.push(News::ListBroken);
                 let pause = BACKOFF.1.min(BACKOFF.0 * (1 << u32::min(fruitless, 8)));
                 tokio::time::sleep(BACKOFF.0).await;
                 let _ = timeout(pause, self.follow.notified()).await;
@@ -150,7 +158,7 @@
 
     async fn watch_once(
         &self,
-        host: &Rc<Host>,
+        inbox: &Inbox,
         address: SocketAddr,
         after: &mut Option<u64>,
     ) -> Result<std::convert::Infallible, String> {
@@ -187,7 +195,7 @@
                 let update: Update =
                     serde_json::from_slice(line).map_err(|e| format!("a line cannot be read: {e}"))?;
                 *after = Some(update.generation);
-                host.servers_listed(&update);
+                inbox.push(update.news());
             }
             if buffer.len() > MAX_LINE {
                 return Err("a line is too long".into());
--- /dev/null
+++ b/crates/daemon/src/membership/mod.rs
@@ -0,0 +1,3 @@
+//! Membership: where the list of servers comes from.
+
+pub mod discovery;
--- a/crates/daemon/src/counter.rs
+++ b/crates/daemon/src/peers/keeper.rs
@@ -1,7 +1,7 @@
 //! The counter service: adds to a named number and reads it, on a few kept connections.
 
-use crate::host::Host;
-use crate::link::{Failure, Link};
+use super::link::{Failure, Link};
+use crate::inbox::{Inbox, News};
 use crate::log;
 use http_body_util::Full;
 use hyper::header::HOST;
@@ -25,7 +25,7 @@
 /// Names are forgotten after this many milliseconds at the latest, and live one at least.
 const LIFE_MS: (f64, f64) = (1.0, 60_000.0);
 
-pub struct Counter {
+pub struct Keeper {
     address: Cell<Option<SocketAddr>>,
     timeout: Duration,
     idle: RefCell<Vec<Link>>,
@@ -39,11 +39,11 @@
     faults: Cell<u64>,
 }
 
-impl Counter {
+impl Keeper {
     pub fn new(address: Option<SocketAddr>, settings: &Settings) -> Self {
         let limit = settings.counter_timeout;
         let limit = if limit > 0.0 && limit.is_finite() { limit } else { TIMEOUT_DEFAULT };
-        Counter {
+        Keeper {
             address: Cell::new(address),
             timeout: Duration::from_secs_f64(limit),
             idle: RefCell::default(),
@@ -66,7 +66,13 @@
     }
 
     /// Starts a call, or gives why none can be made; nothing is added then.
-    pub fn call(self: &Rc<Self>, host: &Rc<Host>, name: String, add: f64, lives: f64) -> Result<(), Outcome> {
+    pub fn call(
+        self: &Rc<Self>,
+        inbox: &Rc<Inbox>,
+        name: String,
+        add: f64,
+        lives: f64,
+    ) -> Result<(), Outcome> {
         let address = self.address.get().ok_or(Outcome::ConnectFailed)?;
         if self.quiet_until.get().is_some_and(|until| Instant::now() < until) {
             return Err(Outcome::ConnectFailed);
@@ -75,15 +81,15 @@
             return Err(Outcome::Full);
         }
         self.out.set(self.out.get() + 1);
-        let (counter, host) = (self.clone(), host.clone());
+        let (keeper, inbox) = (self.clone(), inbox.clone());
         tokio::task::spawn_local(async move {
             let began = Instant::now();
-            let (outcome, total, link) = counter.run(address, &name, add, lives).await;
-            counter.out.set(counter.out.get() - 1);
-            host.counted(name, outcome, total, began.elapsed());
+            let (outcome, total, link) = keeper.run(address, &name, add, lives).await;
+            keeper.out.set(keeper.out.get() - 1);
+            inbox.push(News::Counted { name, outcome, total, took: began.elapsed() });
             if let Some(mut link) = link {
-                if link.settle().await && counter.address.get() == Some(address) {
-                    counter.idle.borrow_mut().push(link);
+                if link.settle().await && keeper.address.get() == Some(address) {
+                    keeper.idle.borrow_mut().push(link);
                 }
             }
         });
--- /dev/null
+++ b/crates/daemon/src/peers/mod.rs
@@ -0,0 +1,5 @@
+//! Peers: what the limiter calls. Each reports what came of a call to the inbox and knows nobody else.
+
+pub mod keeper;
+pub mod link;
+pub mod servers;
--- a/crates/daemon/src/servers.rs
+++ b/crates/daemon/src/peers/servers.rs
@@ -1,13 +1,12 @@
 //! The servers: where each listens, the connections kept to it, and one attempt or probe at a time on each.
 
-use crate::host::Host;
-use crate::link::{Failure, Link, Socket, Written};
-use crate::request::read_number;
+use super::link::{Failure, Link, Socket, Written};
+use crate::inbox::{Ended, Forward, Inbox, News};
+use crate::number::read_number;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
-use hyper::http::uri::PathAndQuery;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode, Uri};
 use liftrouter_decision::{LoadReport, Outcome, RequestId, ServerId, ServerState, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -34,32 +33,6 @@
 const MOST_LOAD: f64 = 1e6;
 const SWEEP: Duration = Duration::from_millis(500);
 
-/// The part of a client's request that goes on unchanged.
-pub struct Forward {
-    pub method: Method,
-    pub target: PathAndQuery,
-    pub correlation_id: HeaderValue,
-    pub idempotency_key: Option<HeaderValue>,
-    pub content_type: Option<HeaderValue>,
-    pub body: Bytes,
-    /// When the answer has to be written.
-    pub due: Instant,
-}
-
-/// How an attempt ended, as the module is told, and the answer where it was served.
-pub struct Ended {
-    pub outcome: Outcome,
-    pub units: Option<f64>,
-    pub report: LoadReport,
-    pub answer: Option<Response<Bytes>>,
-}
-
-impl Ended {
-    pub fn of(outcome: Outcome) -> Self {
-        Ended { outcome, units: None, report: LoadReport::default(), answer: None }
-    }
-}
-
 /// What is known of a server, beside what the module keeps.
 pub struct Place {
     pub address: SocketAddr,
@@ -124,11 +97,10 @@
     /// Takes in the state and address of a server. What is kept to another address, or to one that takes no
     /// more work, is closed.
     pub fn place(&self, id: &ServerId, place: Place) {
-        let mut table = self.table.borrow_mut();
         if place.state == ServerState::Gone {
-            table.remove(id);
-            return;
+            return self.remove(id);
         }
+        let mut table = self.table.borrow_mut();
         match table.get_mut(id) {
             Some(server) => {
                 if server.place.address != place.address || place.state != ServerState::InService {
@@ -142,6 +114,11 @@
         }
     }
 
+    /// Forgets a server and closes what is kept to it.
+    pub fn remove(&self, id: &ServerId) {
+        self.table.borrow_mut().remove(id);
+    }
+
     pub fn ids(&self) -> Vec<ServerId> {
         self.table.borrow().keys().cloned().collect()
     }
@@ -192,10 +169,10 @@
         }
     }
 
-    /// Runs one attempt and reports its end to the host; a connection that can serve again is kept.
+    /// Runs one attempt and reports its end; a connection that can serve again is kept.
     pub async fn attempt(
         self: Rc<Self>,
-        host: Rc<Host>,
+        inbox: Rc<Inbox>,
         (id, n): (RequestId, u32),
         server: ServerId,
         (forward, attempt): (Rc<Forward>, Rc<Attempt>),
@@ -210,7 +187,7 @@
         };
         // With this the socket of a failed attempt is closed: the next attempt may start.
         attempt.release();
-        host.attempt_ended(id, n, ended);
+        inbox.push(News::AttemptEnded(id, n, ended));
         if let Some((address, mut link)) = kept {
             if link.settle().await {
                 self.keep(&server, address, link);
@@ -241,7 +218,7 @@
                 return failed(Outcome::ConnectFailed);
             }
             *attempt.socket.borrow_mut() = Some(link.socket().clone());
-            let result = link.exchange(forward.request(address, give_up)).await;
+            let result = link.exchange(message(forward, address, give_up)).await;
             let unsent = link.socket().written() == Written::Nothing;
             return match result {
                 Ok(answer) => (judge(answer, self.max_units), Some((address, link))),
@@ -258,7 +235,7 @@
     }
 
     /// Asks a server for its load.
-    pub async fn probe(self: Rc<Self>, host: Rc<Host>, id: ServerId) {
+    pub async fn probe(self: Rc<Self>, inbox: Rc<Inbox>, id: ServerId) {
         let probe = async {
             let address = self.address(&id)?;
             let mut link = match self.reuse(&id) {
@@ -283,7 +260,7 @@
             Ok(None) => (Outcome::ConnectFailed, LoadReport::default(), None),
             Err(_) => (Outcome::Timeout, LoadReport::default(), None),
         };
-        host.probed(id.clone(), outcome, report);
+        inbox.push(News::Probed(id.clone(), outcome, report));
         if let Some((address, mut link)) = kept {
             if link.settle().await {
                 self.keep(&id, address, link);
@@ -292,21 +269,20 @@
     }
 }
 
-impl Forward {
-    fn request(&self, address: SocketAddr, give_up: Instant) -> Request<Full<Bytes>> {
-        let left = give_up.saturating_duration_since(Instant::now()).as_micros();
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = Uri::from(self.target.clone());
-        let headers = request.headers_mut();
-        let mut insert = |name, value: Option<HeaderValue>| value.map(|value| headers.insert(name, value));
-        insert(HOST, HeaderValue::try_from(address.to_string()).ok());
-        insert(CORRELATION_ID, Some(self.correlation_id.clone()));
-        insert(IDEMPOTENCY_KEY, self.idempotency_key.clone());
-        insert(CONTENT_TYPE, self.content_type.clone());
-        insert(TIME_LEFT, HeaderValue::try_from(format!("{left}u")).ok());
-        request
-    }
+/// A request as a server gets it.
+fn message(forward: &Forward, address: SocketAddr, give_up: Instant) -> Request<Full<Bytes>> {
+    let left = give_up.saturating_duration_since(Instant::now()).as_micros();
+    let mut request = Request::new(Full::new(forward.body.clone()));
+    *request.method_mut() = forward.method.clone();
+    *request.uri_mut() = Uri::from(forward.target.clone());
+    let headers = request.headers_mut();
+    let mut insert = |name, value: Option<HeaderValue>| value.map(|value| headers.insert(name, value));
+    insert(HOST, HeaderValue::try_from(address.to_string()).ok());
+    insert(CORRELATION_ID, Some(forward.correlation_id.clone()));
+    insert(IDEMPOTENCY_KEY, forward.idempotency_key.clone());
+    insert(CONTENT_TYPE, forward.content_type.clone());
+    insert(TIME_LEFT, HeaderValue::try_from(format!("{left}u")).ok());
+    request
 }
 
 /// What a whole answer means.
