Rehearsal kit: stand-ins, links that can be cut, scenarios, ledger, verdict and report

Change: crates/rehearsal with the program liftrouter-rehearse. Real limiters run as child processes by the deployment's contract; nodes, keeper, list and clients are stand-ins on loopback. Each limiter reaches each peer through an address of its own whose bytes can be cut, held, dropped, delayed or reset; a cut link's connections never come up, by a full accept queue. Faults are undone by their numbers, so that overlapping ones stay apart. Schedule and ledger are pure; the verdict gives rule, request, time and wire events, and does not judge within the kit's own lateness. Two scenarios: quickstart, overlap. The tests found a keeper that closed on 404 and stand-ins that listened only after their address was handed out.

--- /dev/null
+++ b/crates/rehearsal/src/main.rs
@@ -0,0 +1,371 @@
+//! `liftrouter-rehearse`: rehearses failures of a whole installation on one machine.
+
+use clap::{Args, Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
+use liftrouter_rehearsal::history::Recorder;
+use liftrouter_rehearsal::measure;
+use liftrouter_rehearsal::net::link::{Link, Reserved};
+use liftrouter_rehearsal::rehearsal::{rehearse, scratch, Options, Progress};
+use liftrouter_rehearsal::report::{page, summary, Report};
+use liftrouter_rehearsal::scenario::{Scenario, KINDS};
+use liftrouter_rehearsal::schedule::{draw, seconds};
+use liftrouter_rehearsal::standin::{keeper::Keeper, list, list::List, nodes::Fleet, proxy};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command as Process, ExitCode};
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::watch;
+
+/// The scenario cannot be played, or something beside it is not usable.
+const INVALID: u8 = 2;
+
+/// A whole liftrouter installation on one machine, with faults, and a verdict on the five rules.
+///
+/// Exit code: 0 all rules kept, 1 one was broken, 2 the scenario or a file cannot be used, 3 the rehearsal could
+/// not be judged.
+#[derive(Parser)]
+#[command(name = "liftrouter-rehearse", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays a scenario with real limiters and judges what passed on the wire.
+    Run(Run),
+    /// Checks scenario files and plays nothing.
+    Check {
+        /// The files.
+        #[arg(required = true)]
+        scenarios: Vec<PathBuf>,
+    },
+    /// Lists the scenarios of a folder, and the faults that scenarios can name.
+    List {
+        /// The folder.
+        #[arg(default_value = "scenarios")]
+        folder: PathBuf,
+    },
+    /// Starts one stand-in alone, to try the daemon by hand. Ends with Ctrl-C.
+    #[command(subcommand)]
+    StandIn(StandIn),
+    /// Measures what the kit can offer, and liftrouter against a bare proxy.
+    Measure {
+        /// Seconds for each step.
+        #[arg(long, default_value_t = 4.0)]
+        seconds: f64,
+        /// What starts a limiter; the daemon of this build where it is left out.
+        #[arg(long)]
+        run: Option<String>,
+    },
+}
+
+#[derive(Args)]
+struct Run {
+    /// The scenario file.
+    scenario: PathBuf,
+    /// Draws everything from this seed instead of the scenario's own.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Writes the report as JSON.
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Writes the report as one HTML page.
+    #[arg(long, value_name = "FILE")]
+    html: Option<PathBuf>,
+    /// Keeps the limiters' configurations and logs in this folder.
+    #[arg(long, value_name = "DIR")]
+    keep_logs: Option<PathBuf>,
+    /// Rehearses this program instead of the daemon: a shell command that keeps the deployment's contract
+    /// (the ROUTER_* variables); `exec` is put before it.
+    #[arg(long, value_name = "COMMAND")]
+    run: Option<String>,
+}
+
+#[derive(Subcommand)]
+enum StandIn {
+    /// Quote nodes, each on a port of its own.
+    Nodes {
+        /// Where the first listens; the others on the ports behind it.
+        #[arg(long, default_value = "127.0.0.1:5101")]
+        listen: SocketAddr,
+        /// How many.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=64))]
+        count: u8,
+    },
+    /// The keeper of counts.
+    Keeper {
+        /// Where it listens.
+        #[arg(long, default_value = "127.0.0.1:6400")]
+        listen: SocketAddr,
+    },
+    /// The list of servers.
+    List {
+        /// Where it listens.
+        #[arg(long, default_value = "127.0.0.1:8500")]
+        listen: SocketAddr,
+        /// The nodes that it names.
+        #[arg(required = true)]
+        nodes: Vec<SocketAddr>,
+    },
+    /// A bare proxy that keeps the deployment's contract and no rule.
+    Proxy,
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Run(run) => run_scenario(run),
+        Command::Check { scenarios } => Ok(check(&scenarios)),
+        Command::List { folder } => list_scenarios(&folder),
+        Command::StandIn(StandIn::Proxy) => proxy::run().map(|()| 0),
+        Command::StandIn(stand_in) => start(stand_in).map(|()| 0),
+        Command::Measure { seconds, run } => measure_all(seconds, run),
+    };
+    ExitCode::from(done.unwrap_or_else(|fault| {
+        eprintln!("liftrouter-rehearse: {fault}");
+        INVALID
+    }))
+}
+
+/// The command that starts the daemon of this build. Under cargo it is built first, so that it is there and is
+/// the present one.
+fn daemon() -> Result<String, String> {
+    let exe = std::env::current_exe().map_err(|e| format!("where this program lies is not known: {e}"))?;
+    let folder = exe.parent().unwrap_or(Path::new("."));
+    let daemon = folder.join(format!("liftrouter{}", std::env::consts::EXE_SUFFIX));
+    let (cargo, root) = (std::env::var_os("CARGO"), std::env::var_os("CARGO_MANIFEST_DIR"));
+    if let (Some(cargo), Some(root)) = (cargo, root) {
+        let mut build = Process::new(cargo);
+        build.args(["build", "--quiet", "--locked", "--package", "liftrouter", "--bin", "liftrouter"]);
+        build.current_dir(root).arg("--target-dir").arg(folder.parent().unwrap_or(folder));
+        if folder.ends_with("release") {
+            build.arg("--release");
+        }
+        eprintln!("building the daemon (a moment, the first time) ...");
+        let status = build.status().map_err(|e| format!("cargo cannot be started: {e}"))?;
+        if !status.success() {
+            return Err("the daemon cannot be built; see above".into());
+        }
+    }
+    if !daemon.exists() {
+        let advice = "build it with `cargo build --release`, or name one with --run";
+        return Err(format!("{} is not there: {advice}", daemon.display()));
+    }
+    Ok(format!("'{}'", daemon.display()))
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, String> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    runtime.map_err(|e| format!("cannot start the runtime: {e}"))
+}
+
+fn read(path: &Path) -> Result<Scenario, String> {
+    Scenario::read(path).map_err(|problems| {
+        let lines: Vec<_> = problems.iter().map(ToString::to_string).collect();
+        format!("the scenario cannot be played:\n{}", lines.join("\n"))
+    })
+}
+
+fn run_scenario(run: Run) -> Result<u8, String> {
+    let scenario = read(&run.scenario)?;
+    for path in [&run.json, &run.html].into_iter().flatten() {
+        // Better to hear of it now than after ten minutes.
+        std::fs::write(path, "").map_err(|e| format!("{}: cannot be written: {e}", path.display()))?;
+    }
+    let command = match &run.run {
+        Some(command) => command.clone(),
+        None => daemon()?,
+    };
+    let folder = match &run.keep_logs {
+        Some(folder) => {
+            std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+            folder.clone()
+        }
+        None => scratch().map_err(|e| format!("no folder for temporary files: {e}"))?,
+    };
+    let seed = run.seed.unwrap_or(scenario.seed);
+    let trouble: Arc<Mutex<Option<String>>> = Arc::default();
+    let hook = trouble.clone();
+    std::panic::set_hook(Box::new(move |info| {
+        let place = info.location().map_or(String::new(), |l| format!(" ({}:{})", l.file(), l.line()));
+        let what = info.payload();
+        let what = what.downcast_ref::<&str>().copied();
+        let what = what.or_else(|| info.payload().downcast_ref::<String>().map(String::as_str));
+        let what = what.unwrap_or("no message");
+        let why = format!("a part of the kit panicked: {what}{place}");
+        hook.lock().unwrap_or_else(PoisonError::into_inner).get_or_insert(why);
+    }));
+    let (interrupt, interrupted) = watch::channel(false);
+    let options =
+        Options { seed, commands: vec![command.clone()], folder: folder.clone(), trouble, interrupted };
+    let length = scenario.length_s;
+    let bar = ProgressBar::new((length * 1e3) as u64);
+    if let Ok(style) = ProgressStyle::with_template("{bar:30} {msg}") {
+        bar.set_style(style);
+    }
+    let show = |p: Progress| {
+        let Some(at) = p.at else {
+            bar.set_message("limiters start");
+            return;
+        };
+        bar.set_position((seconds(at) * 1e3) as u64);
+        let faults = if p.faults.is_empty() { "no fault".into() } else { p.faults.join(", ") };
+        bar.set_message(format!(
+            "{:.0}/{length:.0} s, {} served of {}; {faults}",
+            seconds(at),
+            p.served,
+            p.done
+        ));
+    };
+    let (played, runtime) = (scenario.clone(), runtime()?);
+    let outcome = runtime.block_on(async {
+        tokio::spawn(async move {
+            // A second Ctrl-C ends the program at once; the limiters are ended with it.
+            if tokio::signal::ctrl_c().await.is_ok() {
+                let _ = interrupt.send(true);
+            }
+        });
+        rehearse(played, options, None, show).await
+    });
+    runtime.shutdown_background();
+    bar.finish_and_clear();
+    let outcome = outcome.map_err(|e| format!("the installation cannot be set up: {e}"))?;
+    let report = Report::new(&scenario, &command, &outcome);
+    if run.keep_logs.is_none() {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    let write = |path: &Option<PathBuf>, text: String| match path {
+        Some(path) => std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display())),
+        None => Ok(()),
+    };
+    print!("{}", summary(&report));
+    write(&run.json, serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?)?;
+    write(&run.html, page(&report))?;
+    Ok(report.exit_code())
+}
+
+fn check(scenarios: &[PathBuf]) -> u8 {
+    let mut code = 0;
+    for path in scenarios {
+        match Scenario::read(path) {
+            Ok(s) => {
+                let schedule = draw(&s, s.seed);
+                println!(
+                    "{}: good; {} limiters, {} nodes, {} customers, {} requests in {} s, {} faults",
+                    path.display(),
+                    s.limiters.count,
+                    s.nodes.count,
+                    schedule.customers.len(),
+                    schedule.arrivals.len(),
+                    s.length_s,
+                    schedule.faults.len()
+                );
+            }
+            Err(problems) => {
+                problems.iter().for_each(|p| eprintln!("{p}"));
+                code = INVALID;
+            }
+        }
+    }
+    code
+}
+
+fn list_scenarios(folder: &Path) -> Result<u8, String> {
+    let entries = std::fs::read_dir(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let mut paths: Vec<_> = entries.filter_map(|e| Some(e.ok()?.path())).collect();
+    paths.sort();
+    for path in paths.iter().filter(|p| p.extension().is_some_and(|e| e == "toml")) {
+        match Scenario::read(path) {
+            Ok(s) => println!("{:32} {:>5} s  {}", path.display(), s.length_s, s.about),
+            Err(problems) => println!("{:32} cannot be played: {}", path.display(), problems[0]),
+        }
+    }
+    println!("\nFaults (`what` in a [[fault]]):");
+    for k in KINDS {
+        let size = k
+            .size
+            .map_or(String::new(), |(means, default, _, _)| format!("; size: {means}, {default} by default"));
+        println!("  {:20} {}{size}", k.name, k.does);
+    }
+    Ok(0)
+}
+
+/// What stand-ins alone go by: one limiter, and figures as in the scenarios.
+const ALONE: &str = r#"
+name = "alone"
+length_s = 1.0
+limiters.count = 1
+nodes.count = 1
+load.tries_per_s = 1.0
+[[class]]
+name = "price-quote"
+share = 1.0
+work_ms = 80.0
+aim_ms = 750.0
+deadline_ms = 2000.0
+worth = 2.0
+effect = "safe"
+[[plan]]
+name = "starter"
+share = 1.0
+rate = 1.0
+burst_s = 4.0
+price = 1.0
+"#;
+
+fn start(stand_in: StandIn) -> Result<(), String> {
+    let mut scenario = Scenario::parse("alone", ALONE).map_err(|p| p[0].to_string())?;
+    let recorder: Arc<Recorder> = Arc::default();
+    let taken = |at: SocketAddr| move |e| format!("cannot listen on {at}: {e}");
+    runtime()?.block_on(async {
+        match stand_in {
+            StandIn::Nodes { listen, count } => {
+                scenario.nodes.count = count.into();
+                let schedule = Arc::new(draw(&scenario, 0));
+                let links = vec![(0..count).map(|_| Link::new()).collect()];
+                let list = List::new(recorder.clone());
+                let scenario = Arc::new(scenario);
+                let _fleet = Fleet::start(scenario, schedule, recorder, list, links, Some(listen))
+                    .map_err(taken(listen))?;
+                println!("{count} nodes on {listen} and the ports behind it");
+                wait().await
+            }
+            StandIn::Keeper { listen } => {
+                let keeper = Keeper::new(scenario.keeper.clone(), recorder);
+                Reserved::at(listen)
+                    .and_then(|at| keeper.serve_at(0, Link::new(), at))
+                    .map_err(taken(listen))?;
+                println!("the keeper on {listen}");
+                wait().await
+            }
+            StandIn::List { listen, nodes } => {
+                let list = List::new(recorder);
+                for (n, address) in nodes.iter().enumerate() {
+                    list.put(list::Entry::warm(n as u8, *address));
+                }
+                Reserved::at(listen)
+                    .and_then(|at| list.serve_at(0, Link::new(), at))
+                    .map_err(taken(listen))?;
+                println!("the list on {listen}, {} nodes", nodes.len());
+                wait().await
+            }
+            StandIn::Proxy => Ok(()),
+        }
+    })
+}
+
+async fn wait() -> Result<(), String> {
+    tokio::signal::ctrl_c().await.map_err(|e| e.to_string())
+}
+
+fn measure_all(seconds: f64, run: Option<String>) -> Result<u8, String> {
+    let daemon = match run {
+        Some(command) => command,
+        None => daemon()?,
+    };
+    let exe = std::env::current_exe().map_err(|e| e.to_string())?;
+    let bare = format!("'{}' stand-in proxy", exe.display());
+    let text = runtime()?.block_on(measure::all(&daemon, &bare, seconds));
+    print!("{}", text.map_err(|e| format!("cannot be measured: {e}"))?);
+    Ok(0)
+}
--- /dev/null
+++ b/crates/rehearsal/src/net/mod.rs
@@ -0,0 +1,4 @@
+//! Links and messages: what stand-ins and clients speak over.
+
+pub mod link;
+pub mod message;
--- /dev/null
+++ b/crates/rehearsal/src/standin/clients.rs
@@ -0,0 +1,426 @@
+//! Scripted clients, and the front that deals them over the limiters.
+//!
+//! The front sends each customer's requests to its set, one of the set by the schedule's draw, and past those
+//! that it has noticed to be dead. Clients keep connections, send one request at a time on each, give up at
+//! their deadline, and ask again as the schedule says.
+
+use crate::history::{Body, Event, Recorder, TryId};
+use crate::net::message::{take_answer, Answer};
+use crate::scenario::{Effect, Scenario};
+use crate::schedule::{Arrival, Micros, Schedule};
+use crate::standin::nodes::is_own;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, sleep_until, timeout};
+
+/// A client that got no answer in time waits so much longer before it stops, for the judge to see.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+/// Connecting on loopback takes no time: what is not up by then is not there.
+const CONNECT: Duration = Duration::from_millis(1_000);
+/// Kept connections are used for this long.
+const IDLE: Duration = Duration::from_secs(2);
+
+/// A limiter as the front knows it.
+struct Gate {
+    address: SocketAddr,
+    state: Mutex<GateState>,
+    idle: Mutex<Vec<(TcpStream, Instant)>>,
+}
+
+#[derive(Default)]
+struct GateState {
+    up: bool,
+    /// When it went down, in truth.
+    down_since: Option<Instant>,
+    /// Changes with each end of its process.
+    lives: u64,
+}
+
+/// The front.
+pub struct Front {
+    gates: Vec<Gate>,
+    notice: Duration,
+}
+
+impl Front {
+    /// Before these limiters, none of which is up yet.
+    pub fn new(addresses: &[SocketAddr], notice_s: f64) -> Arc<Front> {
+        let gate = |a: &SocketAddr| Gate { address: *a, state: Mutex::default(), idle: Mutex::default() };
+        Arc::new(Front {
+            gates: addresses.iter().map(gate).collect(),
+            notice: Duration::from_secs_f64(notice_s),
+        })
+    }
+
+    /// A limiter is ready for clients.
+    pub fn up(&self, limiter: usize) {
+        let mut state = lock(&self.gates[limiter].state);
+        (state.up, state.down_since) = (true, None);
+    }
+
+    /// A limiter's process is about to end, or has: what it held then is not sent to it again.
+    pub fn ends(&self, limiter: usize) {
+        lock(&self.gates[limiter].state).lives += 1;
+    }
+
+    /// A limiter has ended, which the front notices later.
+    pub fn down(&self, limiter: usize) {
+        self.ends(limiter);
+        let mut state = lock(&self.gates[limiter].state);
+        if state.up && state.down_since.is_none() {
+            state.down_since = Some(Instant::now());
+        }
+        lock(&self.gates[limiter].idle).clear();
+    }
+
+    /// A limiter is about to end, and the front is told: nothing new goes there from now on.
+    pub fn withdraw(&self, limiter: usize) {
+        lock(&self.gates[limiter].state).up = false;
+    }
+
+    fn takes(&self, limiter: usize) -> bool {
+        let mut state = lock(&self.gates[limiter].state);
+        if state.down_since.is_some_and(|since| since.elapsed() >= self.notice) {
+            (state.up, state.down_since) = (false, None);
+        }
+        state.up
+    }
+
+    fn lives(&self, limiter: usize) -> u64 {
+        lock(&self.gates[limiter].state).lives
+    }
+
+    /// The limiter of a set for a draw: that one, or the next that is up; none of them up, that one.
+    fn route(&self, first: usize, spread: usize, place: usize) -> usize {
+        let at = |place: usize| (first + place % spread.max(1)) % self.gates.len();
+        (0..spread).map(|n| at(place + n)).find(|l| self.takes(*l)).unwrap_or_else(|| at(place))
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The clients.
+pub struct Clients {
+    scenario: Arc<Scenario>,
+    schedule: Arc<Schedule>,
+    recorder: Arc<Recorder>,
+    front: Arc<Front>,
+    secret: u64,
+    /// Requests that are not over.
+    open: AtomicUsize,
+    /// Those over so far, and those served, for the progress line.
+    pub done: AtomicUsize,
+    /// Served.
+    pub served: AtomicUsize,
+}
+
+/// How a try ended for its client.
+enum Ended {
+    /// Served.
+    Served,
+    /// Refused, with advice.
+    Refused(Option<Duration>),
+    /// Answered otherwise, lost, or not answered.
+    Failed,
+    /// The limiter was not reached.
+    Unreached,
+    /// The client is gone.
+    Left,
+}
+
+/// How an exchange on one connection ended.
+enum Exchange {
+    Answer(Answer, Vec<u8>),
+    /// Never written whole.
+    NotSent,
+    /// Ended or broke after so many bytes of an answer.
+    Broken(usize),
+    /// Nothing came in time.
+    Late,
+    Left,
+}
+
+impl Clients {
+    /// Clients that ask as the schedule says.
+    pub fn new(
+        scenario: Arc<Scenario>,
+        schedule: Arc<Schedule>,
+        recorder: Arc<Recorder>,
+        front: Arc<Front>,
+        secret: u64,
+    ) -> Arc<Clients> {
+        Arc::new(Clients {
+            scenario,
+            schedule,
+            recorder,
+            front,
+            secret,
+            open: AtomicUsize::new(0),
+            done: AtomicUsize::new(0),
+            served: AtomicUsize::new(0),
+        })
+    }
+
+    /// Requests that are not over.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    /// Sends a request and what follows from it.
+    pub fn send(self: &Arc<Self>, index: usize) {
+        self.open.fetch_add(1, Ordering::SeqCst);
+        let clients = self.clone();
+        tokio::spawn(async move {
+            // Counted down whatever becomes of the task.
+            let _open = Open(&clients.open);
+            if clients.request(index).await {
+                clients.served.fetch_add(1, Ordering::SeqCst);
+            }
+            clients.done.fetch_add(1, Ordering::SeqCst);
+        });
+    }
+
+    /// A request with all its tries; true if it was served.
+    async fn request(&self, index: usize) -> bool {
+        let arrival = &self.schedule.arrivals[index];
+        let class = &self.scenario.classes[arrival.class];
+        let began = Instant::now();
+        let due = began + Duration::from_secs_f64(class.deadline_ms / 1e3);
+        for (n, one) in arrival.tries.iter().enumerate() {
+            let customer = &self.schedule.customers[arrival.customer];
+            let limiter = self.front.route(customer.first, customer.spread, one.place);
+            let leaves = arrival.leaves.filter(|_| n == 0).map(|after| began + Duration::from_micros(after));
+            let ended = self.ask(index, n, limiter, due, leaves).await;
+            let advice = match ended {
+                Ended::Served => return true,
+                Ended::Left => return false,
+                Ended::Refused(advice) => advice.filter(|_| arrival.heeds),
+                Ended::Failed if class.effect == Effect::Unsafe => return false,
+                Ended::Failed | Ended::Unreached => None,
+            };
+            let Some(next) = arrival.tries.get(n + 1) else { return false };
+            let pause = Duration::from_micros(next.backoff).max(advice.unwrap_or_default());
+            // A keyed request is sent again only while its key is sure to be remembered.
+            if Instant::now() + pause >= due {
+                return false;
+            }
+            sleep(pause).await;
+        }
+        false
+    }
+
+    fn message(&self, arrival: &Arrival, (index, n): (usize, usize), due: Instant) -> String {
+        let customer = &self.schedule.customers[arrival.customer];
+        let class = &self.scenario.classes[arrival.class];
+        let plan = &self.scenario.plans[customer.plan].name;
+        let (method, extra, body) = match class.effect {
+            Effect::Safe => ("GET", String::new(), String::new()),
+            _ => {
+                let body = format!("{{\"trip\":{index}}}");
+                let head = format!("Idempotency-Key: {index:032x}\r\nContent-Length: {}\r\n", body.len());
+                ("POST", head, body)
+            }
+        };
+        let left = due.saturating_duration_since(Instant::now()).as_micros();
+        format!(
+            "{method} /{}/{:016x} HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: {:016x}\r\n\
+             X-Contract: {plan}\r\nX-Time-Left: {left}u\r\n{extra}\
+             X-Metering: units={},spread={},first={}\r\n\r\n{body}",
+            class.name,
+            customer.number,
+            Arrival::id(index, n),
+            arrival.guess,
+            customer.spread,
+            customer.first
+        )
+    }
+
+    async fn ask(
+        &self,
+        index: usize,
+        n: usize,
+        limiter: usize,
+        due: Instant,
+        leaves: Option<Instant>,
+    ) -> Ended {
+        let id = Arrival::id(index, n);
+        let arrival = &self.schedule.arrivals[index];
+        let lives = self.front.lives(limiter);
+        let unreached = || {
+            self.recorder.note(Event::Unreached { id, limiter: limiter as u8 });
+            Ended::Unreached
+        };
+        let mut again = false;
+        loop {
+            let kept = if again { None } else { self.kept(limiter, id) };
+            let reused = kept.is_some();
+            let mut stream = match kept {
+                Some(stream) => stream,
+                None => match timeout(CONNECT, TcpStream::connect(self.front.gates[limiter].address)).await {
+                    Ok(Ok(stream)) => {
+                        let _ = stream.set_nodelay(true);
+                        stream
+                    }
+                    _ => return unreached(),
+                },
+            };
+            let text = self.message(arrival, (index, n), due);
+            let sent = |at| {
+                let due = self.recorder.at(due);
+                self.recorder.note_at(at, Event::Sent { id, limiter: limiter as u8, due });
+            };
+            let exchange = exchange(&mut stream, &text, due, leaves, || sent(self.recorder.now())).await;
+            return match exchange {
+                Exchange::Answer(answer, rest) => self.answered(id, limiter, answer, rest, stream),
+                Exchange::NotSent if !reused => unreached(),
+                // A limiter may close between requests: what crosses that is sent once more. One that has
+                // ended meanwhile may have taken it.
+                Exchange::NotSent => {
+                    again = true;
+                    continue;
+                }
+                Exchange::Broken(0) if reused && !again && self.front.lives(limiter) == lives => {
+                    self.recorder.note(Event::Resent { id });
+                    again = true;
+                    continue;
+                }
+                Exchange::Broken(bytes) => {
+                    self.recorder.note(Event::Lost { id, bytes: bytes as u32 });
+                    Ended::Failed
+                }
+                Exchange::Late => {
+                    self.recorder.note(Event::Unanswered { id });
+                    Ended::Failed
+                }
+                Exchange::Left => {
+                    self.recorder.note(Event::Left { id });
+                    Ended::Left
+                }
+            };
+        }
+    }
+
+    fn answered(&self, id: TryId, limiter: usize, answer: Answer, rest: Vec<u8>, stream: TcpStream) -> Ended {
+        let advice = answer.headers.get("retry-after").and_then(|t| t.trim().parse::<f64>().ok());
+        let advice = advice.filter(|s| s.is_finite() && *s > 0.0).map(Duration::from_secs_f64);
+        let own = answer.status != 200 || is_own(&answer.body, id, self.secret);
+        self.recorder.note(Event::Answered {
+            id,
+            status: answer.status,
+            advice: advice.map(|a| a.as_micros() as Micros),
+            body: if own { Body::Own } else { Body::Foreign },
+        });
+        if !rest.is_empty() {
+            self.recorder.note(Event::Surplus { id, bytes: rest.len() as u32 });
+        } else if !answer.last {
+            lock(&self.front.gates[limiter].idle).push((stream, Instant::now()));
+        }
+        match answer.status {
+            200 => Ended::Served,
+            429 | 503 => Ended::Refused(advice),
+            _ => Ended::Failed,
+        }
+    }
+
+    /// A kept connection that is still good.
+    fn kept(&self, limiter: usize, id: TryId) -> Option<TcpStream> {
+        let mut idle = lock(&self.front.gates[limiter].idle);
+        while let Some((stream, since)) = idle.pop() {
+            if since.elapsed() > IDLE {
+                continue;
+            }
+            let mut buffer = [0; 512];
+            match stream.try_read(&mut buffer) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Some(stream),
+                // A limiter may say why it closes an idle connection.
+                Ok(read) if read > 0 && !buffer.starts_with(b"HTTP/1.1 408") => {
+                    self.recorder.note(Event::Surplus { id, bytes: read as u32 });
+                }
+                _ => {}
+            }
+        }
+        None
+    }
+}
+
+struct Open<'a>(&'a AtomicUsize);
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+async fn exchange(
+    stream: &mut TcpStream,
+    text: &str,
+    due: Instant,
+    leaves: Option<Instant>,
+    sent: impl FnOnce(),
+) -> Exchange {
+    if stream.write_all(text.as_bytes()).await.is_err() {
+        return Exchange::NotSent;
+    }
+    sent();
+    let mut buffer = Vec::with_capacity(1_024);
+    let read = async {
+        loop {
+            let ended = match stream.read_buf(&mut buffer).await {
+                Ok(read) => read == 0,
+                Err(_) => return Exchange::Broken(buffer.len()),
+            };
+            let size = buffer.len();
+            match take_answer(&mut buffer, ended) {
+                Ok(Some(answer)) => return Exchange::Answer(answer, std::mem::take(&mut buffer)),
+                Ok(None) if !ended => {}
+                _ => return Exchange::Broken(size),
+            }
+        }
+    };
+    tokio::select! {
+        done = read => done,
+        () = sleep_until((due + PATIENCE).into()) => Exchange::Late,
+        () = sleep_until(leaves.unwrap_or(due).into()), if leaves.is_some() => Exchange::Left,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn addresses(n: u16) -> Vec<SocketAddr> {
+        (0..n).map(|n| ([127, 0, 0, 1], 9 + n).into()).collect()
+    }
+
+    #[test]
+    fn the_front_goes_round_limiters_that_it_knows_to_be_down() {
+        let front = Front::new(&addresses(3), 0.0);
+        assert_eq!(front.route(2, 2, 0), 2, "none is up: the drawn one is tried");
+        for n in 0..3 {
+            front.up(n);
+        }
+        assert_eq!((front.route(2, 2, 0), front.route(2, 2, 1)), (2, 0), "the set goes round");
+        front.down(2);
+        assert_eq!((front.route(2, 2, 0), front.route(1, 2, 1)), (0, 1));
+        front.up(2);
+        assert_eq!(front.route(2, 2, 0), 2);
+        front.withdraw(2);
+        assert_eq!(front.route(2, 2, 0), 0);
+    }
+
+    #[test]
+    fn the_front_notices_a_dead_limiter_late() {
+        let front = Front::new(&addresses(2), 3_600.0);
+        front.up(0);
+        front.up(1);
+        front.down(0);
+        assert_eq!(front.route(0, 2, 0), 0, "it does not know yet");
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/standin/keeper.rs
@@ -0,0 +1,312 @@
+//! The stand-in keeper: adds to named numbers, a call after the other, and forgets names when their life is
+//! over. It can fall silent, run slow, refuse connections, lose counts, or answer with old totals.
+
+use super::{parameter, Conn};
+use crate::history::{Event, Recorder};
+use crate::net::link::{keep, Link, Pipe, Reserved};
+use crate::net::message::answer;
+use crate::scenario;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+use tokio::time::sleep_until;
+
+/// Names are forgotten after this at the latest.
+const LONGEST_LIFE: Duration = Duration::from_secs(60);
+/// A call that would wait longer than this many time-outs of its callers is turned away.
+const QUEUE: f64 = 2.0;
+/// Names are 1 to 64 bytes, amounts 1e9 at most.
+const LONGEST_NAME: usize = 64;
+const LARGEST: f64 = 1e9;
+
+type Numbers = HashMap<String, (f64, Instant)>;
+
+#[derive(Default)]
+struct State {
+    numbers: Numbers,
+    /// When the line of calls will have been worked off.
+    busy_until: Option<Instant>,
+    slow: BTreeMap<u32, f64>,
+    silent: BTreeSet<u32>,
+    refusing: BTreeSet<u32>,
+    /// What each fault of this kind froze.
+    stale: BTreeMap<u32, Numbers>,
+}
+
+/// The keeper.
+pub struct Keeper {
+    figures: scenario::Keeper,
+    recorder: Arc<Recorder>,
+    state: Mutex<State>,
+    open: watch::Sender<bool>,
+    silent: watch::Sender<bool>,
+}
+
+impl Keeper {
+    /// One that works.
+    pub fn new(figures: scenario::Keeper, recorder: Arc<Recorder>) -> Arc<Keeper> {
+        Arc::new(Keeper {
+            figures,
+            recorder,
+            state: Mutex::default(),
+            open: watch::Sender::new(true),
+            silent: watch::Sender::new(false),
+        })
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Listens for one limiter on an address of its own.
+    ///
+    /// # Errors
+    /// No address is to be had.
+    pub fn serve(self: &Arc<Self>, limiter: u8, link: Arc<Link>) -> io::Result<SocketAddr> {
+        self.serve_at(limiter, link, Reserved::any()?)
+    }
+
+    /// The same on this address.
+    ///
+    /// # Errors
+    /// It cannot be listened on.
+    pub fn serve_at(
+        self: &Arc<Self>,
+        limiter: u8,
+        link: Arc<Link>,
+        reserved: Reserved,
+    ) -> io::Result<SocketAddr> {
+        let door = reserved.open(link.clone())?;
+        let address = door.address;
+        let keeper = self.clone();
+        let open = self.open.subscribe();
+        tokio::spawn(async move {
+            let on = |pipe| {
+                tokio::spawn(keeper.clone().connection(limiter, pipe));
+            };
+            keep(door, link, open, on).await.expect("the keeper's address");
+        });
+        Ok(address)
+    }
+
+    async fn connection(self: Arc<Self>, limiter: u8, pipe: Pipe) {
+        let mut open = self.open.subscribe();
+        let mut conn = Conn::new(pipe);
+        loop {
+            let call = tokio::select! {
+                call = conn.next() => call,
+                _ = open.wait_for(|open| !*open) => return conn.pipe.reset(),
+            };
+            let Some(call) = call else { return };
+            let text = tokio::select! {
+                text = self.take(&call.request.method, &call.request.target) => text,
+                // What a caller no longer waits for is not worked on; its turn has been used.
+                () = conn.pipe.ended() => return self.note(limiter, false),
+                _ = open.wait_for(|open| !*open) => {
+                    self.note(limiter, false);
+                    return conn.pipe.reset();
+                }
+            };
+            let written = conn.pipe.write(text.as_bytes()).await.is_ok();
+            self.note(limiter, written && text.starts_with("HTTP/1.1 200"));
+            if !written {
+                return;
+            }
+        }
+    }
+
+    fn note(&self, limiter: u8, answered: bool) {
+        self.recorder.note(Event::Called { limiter, answered });
+    }
+
+    /// A call gets its turn, and its answer.
+    async fn take(&self, method: &str, target: &str) -> String {
+        let mut silent = self.silent.subscribe();
+        let _ = silent.wait_for(|silent| !*silent).await;
+        let path = target.split('?').next().unwrap_or_default();
+        let name = path.strip_prefix("/tally/").filter(|n| (1..=LONGEST_NAME).contains(&n.len()));
+        let (Some(name), "POST") = (name, method) else { return answer("404 Not Found", "", "") };
+        let add = parameter(target, "n").and_then(|n| n.parse::<f64>().ok()).filter(|n| n.abs() <= LARGEST);
+        let life = parameter(target, "keep_ms").and_then(|n| n.parse::<u64>().ok()).filter(|n| *n >= 1);
+        let (Some(add), Some(life)) = (add, life) else { return answer("400 Bad Request", "", "") };
+        let Some((turn, done)) = self.turn(Instant::now()) else {
+            return answer("503 Service Unavailable", "", "");
+        };
+        sleep_until(turn.into()).await;
+        let total = self.add(Instant::now(), name, add, Duration::from_millis(life));
+        sleep_until(done.into()).await;
+        let _ = silent.wait_for(|silent| !*silent).await;
+        answer("200 OK", "", &total)
+    }
+
+    /// When a call that comes now has its turn, and when its answer is out; none where the line is too long.
+    fn turn(&self, now: Instant) -> Option<(Instant, Instant)> {
+        let mut state = self.state();
+        let slower: f64 = state.slow.values().product();
+        let begins = state.busy_until.map_or(now, |t| t.max(now));
+        let longest = Duration::from_secs_f64(self.figures.timeout_ms / 1e3 * QUEUE);
+        if begins.duration_since(now) > longest {
+            return None;
+        }
+        let turn = begins + Duration::from_secs_f64(slower / self.figures.calls_per_s);
+        state.busy_until = Some(turn);
+        Some((turn, turn + Duration::from_secs_f64(self.figures.call_ms / 1e3 * slower)))
+    }
+
+    fn add(&self, now: Instant, name: &str, add: f64, life: Duration) -> String {
+        let mut state = self.state();
+        state.numbers.retain(|_, (_, until)| *until > now);
+        let fresh = (0.0, now + life.min(LONGEST_LIFE));
+        let number = state.numbers.entry(name.to_string()).or_insert(fresh);
+        number.0 += add;
+        let total = number.0;
+        let old = state.stale.values().next().map(|old| old.get(name).map_or(0.0, |(total, _)| *total));
+        format!("{}", old.unwrap_or(total))
+    }
+
+    /// A fault begins: it answers nothing.
+    pub fn fall_silent(&self, fault: u32) {
+        let mut state = self.state();
+        state.silent.insert(fault);
+        self.silent.send_replace(true);
+    }
+
+    /// A fault begins: it refuses connections.
+    pub fn refuse(&self, fault: u32) {
+        let mut state = self.state();
+        state.refusing.insert(fault);
+        self.open.send_replace(false);
+    }
+
+    /// A fault begins: calls take so many times as long.
+    pub fn slow_down(&self, fault: u32, times: f64) {
+        self.state().slow.insert(fault, times);
+    }
+
+    /// A fault begins: totals stay as they are now. What is added meanwhile is kept.
+    pub fn freeze(&self, fault: u32) {
+        let mut state = self.state();
+        let now = state.numbers.clone();
+        state.stale.insert(fault, now);
+    }
+
+    /// It loses this share of its names, which the seed picks.
+    pub fn forget(&self, share: f64, seed: u64) {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut state = self.state();
+        let mut names: Vec<String> = state.numbers.keys().cloned().collect();
+        names.sort_unstable();
+        for name in names {
+            if rng.f64() < share {
+                state.numbers.remove(&name);
+            }
+        }
+    }
+
+    /// What this fault did is over.
+    pub fn undo(&self, fault: u32) {
+        let mut state = self.state();
+        state.silent.remove(&fault);
+        state.refusing.remove(&fault);
+        state.slow.remove(&fault);
+        state.stale.remove(&fault);
+        self.silent.send_replace(!state.silent.is_empty());
+        self.open.send_replace(state.refusing.is_empty());
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpStream;
+    use tokio::time::timeout;
+
+    const LONG: Duration = Duration::from_secs(10);
+
+    fn keeper(calls_per_s: f64) -> Arc<Keeper> {
+        let figures = scenario::Keeper { calls_per_s, call_ms: 0.0, timeout_ms: 50.0 };
+        Keeper::new(figures, Arc::default())
+    }
+
+    async fn call(address: SocketAddr, target: &str) -> io::Result<(u16, String)> {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(format!("POST {target} HTTP/1.1\r\n\r\n").as_bytes()).await?;
+        let mut buffer = Vec::new();
+        loop {
+            if let Some(a) = crate::net::message::take_answer(&mut buffer, false).expect("an answer") {
+                return Ok((a.status, String::from_utf8_lossy(&a.body).into_owned()));
+            }
+            if stream.read_buf(&mut buffer).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    #[tokio::test]
+    async fn it_adds_forgets_and_knows_its_calls() {
+        let k = keeper(10_000.0);
+        let address = k.serve(0, Link::new()).expect("serve");
+        assert_eq!(call(address, "/tally/a?n=2.5&keep_ms=60000").await.expect("call"), (200, "2.5".into()));
+        assert_eq!(call(address, "/tally/a?n=-1&keep_ms=1").await.expect("call"), (200, "1.5".into()));
+        assert_eq!(call(address, "/tally/b?n=1&keep_ms=1").await.expect("call"), (200, "1".into()));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert_eq!(call(address, "/tally/b?n=1&keep_ms=1").await.expect("call").1, "1", "its life is over");
+        for (target, status) in
+            [("/tally/?n=1&keep_ms=1", 404), ("/tally/a?n=x&keep_ms=1", 400), ("/other", 404)]
+        {
+            assert_eq!(call(address, target).await.expect("call").0, status, "{target}");
+        }
+        k.freeze(1);
+        assert_eq!(call(address, "/tally/a?n=10&keep_ms=1").await.expect("call").1, "1.5", "stale");
+        k.undo(1);
+        assert_eq!(
+            call(address, "/tally/a?n=0&keep_ms=1").await.expect("call").1,
+            "11.5",
+            "nothing was lost"
+        );
+        k.forget(1.0, 7);
+        assert_eq!(call(address, "/tally/a?n=0&keep_ms=1").await.expect("call").1, "0");
+    }
+
+    #[tokio::test]
+    async fn overlapping_faults_end_one_by_one() {
+        let k = keeper(10_000.0);
+        let address = k.serve(0, Link::new()).expect("serve");
+        k.fall_silent(1);
+        k.fall_silent(2);
+        k.undo(1);
+        let waiting = tokio::spawn(call(address, "/tally/a?n=1&keep_ms=60000"));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!waiting.is_finished(), "the second fault still holds");
+        k.undo(2);
+        let (status, _) = timeout(LONG, waiting).await.expect("in time").expect("no panic").expect("call");
+        assert_eq!(status, 200);
+        k.refuse(3);
+        let refused = |e: io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
+        let limit = Instant::now() + LONG;
+        while !call(address, "/tally/a?n=0&keep_ms=1").await.is_err_and(refused) {
+            assert!(Instant::now() < limit, "it is not refused");
+        }
+        k.undo(3);
+        while call(address, "/tally/a?n=0&keep_ms=1").await.is_err() {
+            assert!(Instant::now() < limit, "it stays refused");
+        }
+    }
+
+    #[test]
+    fn calls_have_their_turn_one_after_the_other_and_a_long_line_turns_away() {
+        let k = keeper(100.0);
+        let now = Instant::now();
+        let turns: Vec<_> = (0..20).map(|_| k.turn(now)).collect();
+        assert_eq!(turns[0].expect("a turn").0, now + Duration::from_millis(10));
+        assert_eq!(turns[9].expect("a turn").0, now + Duration::from_millis(100));
+        assert!(turns[12].is_none(), "more than two time-outs of waiting");
+        k.slow_down(1, 5.0);
+        let later = now + Duration::from_secs(1);
+        assert_eq!(k.turn(later).expect("a turn").0, later + Duration::from_millis(50));
+    }
+}
