Rehearsal tests: a wrong limiter for each rule, sound runs, the program as its users meet it

Need: a verdict that cannot accuse, or accuses a sound limiter, is worth nothing. An attempt's end is now noted when its link lets the answer out, not when the node had it ready: behind a cut link two attempts at once would have gone unseen.

--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -136,7 +136,8 @@
     let (cargo, root) = (std::env::var_os("CARGO"), std::env::var_os("CARGO_MANIFEST_DIR"));
     if let (Some(cargo), Some(root)) = (cargo, root) {
         let mut build = Process::new(cargo);
-        build.args(["build", "--quiet", "--locked", "--package", "liftrouter", "--bin", "liftrouter"]);
+        build.args(["build", "--quiet", "--locked", "--workspace", "--bin", "liftrouter"]);
+        // The whole workspace is named so that its parts are built as they are built for it.
         build.current_dir(root).arg("--target-dir").arg(folder.parent().unwrap_or(folder));
         if folder.ends_with("release") {
             build.arg("--release");
@@ -325,17 +326,19 @@
                 let links = vec![(0..count).map(|_| Link::new()).collect()];
                 let list = List::new(recorder.clone());
                 let scenario = Arc::new(scenario);
-                let _fleet = Fleet::start(scenario, schedule, recorder, list, links, Some(listen))
+                let fleet = Fleet::start(scenario, schedule, recorder, list, links, Some(listen))
                     .map_err(taken(listen))?;
-                println!("{count} nodes on {listen} and the ports behind it");
+                let entries = fleet.shared.list().whole(0);
+                let entries = entries["instances"].as_array().into_iter().flatten();
+                let addresses: Vec<_> = entries.filter_map(|e| e["hostPort"].as_str()).collect();
+                println!("nodes listen on {}", addresses.join(" "));
                 wait().await
             }
             StandIn::Keeper { listen } => {
                 let keeper = Keeper::new(scenario.keeper.clone(), recorder);
-                Reserved::at(listen)
-                    .and_then(|at| keeper.serve_at(0, Link::new(), at))
-                    .map_err(taken(listen))?;
-                println!("the keeper on {listen}");
+                let reserved = Reserved::at(listen).map_err(taken(listen))?;
+                let at = keeper.serve_at(0, Link::new(), reserved).map_err(taken(listen))?;
+                println!("the keeper listens on {at}");
                 wait().await
             }
             StandIn::List { listen, nodes } => {
@@ -343,10 +346,9 @@
                 for (n, address) in nodes.iter().enumerate() {
                     list.put(list::Entry::warm(n as u8, *address));
                 }
-                Reserved::at(listen)
-                    .and_then(|at| list.serve_at(0, Link::new(), at))
-                    .map_err(taken(listen))?;
-                println!("the list on {listen}, {} nodes", nodes.len());
+                let reserved = Reserved::at(listen).map_err(taken(listen))?;
+                let at = list.serve_at(0, Link::new(), reserved).map_err(taken(listen))?;
+                println!("the list listens on {at}");
                 wait().await
             }
             StandIn::Proxy => Ok(()),
--- a/crates/rehearsal/src/net/link.rs
+++ b/crates/rehearsal/src/net/link.rs
@@ -369,11 +369,11 @@
         }
     }
 
-    /// Writes as the link lets it: late, never, or to nowhere.
+    /// Waits until the link lets bytes out that are written now; false if it loses them.
     ///
     /// # Errors
     /// The limiter ended the connection, or the link resets it.
-    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+    pub async fn passes(&mut self) -> io::Result<bool> {
         let asked = Instant::now();
         loop {
             self.pump();
@@ -382,14 +382,21 @@
                 return Err(Pipe::broken());
             }
             if self.swallows(&effect) {
-                return Ok(());
+                return Ok(false);
             }
             let due = asked + effect.delay;
             if !effect.held && due <= Instant::now() {
-                break;
+                return Ok(true);
             }
             self.change((!effect.held).then_some(due)).await;
         }
+    }
+
+    /// Writes at once, whatever the link would do.
+    ///
+    /// # Errors
+    /// As the system says.
+    pub async fn put(&mut self, bytes: &[u8]) -> io::Result<()> {
         let mut left = bytes;
         while !left.is_empty() {
             self.socket.writable().await?;
@@ -402,6 +409,17 @@
         Ok(())
     }
 
+    /// Writes as the link lets it: late, never, or to nowhere.
+    ///
+    /// # Errors
+    /// The limiter ended the connection, or the link resets it.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if self.passes().await? {
+            self.put(bytes).await?;
+        }
+        Ok(())
+    }
+
     /// Waits until the limiter has ended the connection or the link resets it; bytes are kept for later.
     pub async fn ended(&mut self) {
         loop {
--- a/crates/rehearsal/src/report/html.rs
+++ b/crates/rehearsal/src/report/html.rs
@@ -37,10 +37,10 @@
 }
 
 fn number(n: f64) -> String {
-    if n >= 100.0 || n.fract() == 0.0 {
-        format!("{n:.0}")
-    } else {
-        format!("{n:.2}")
+    match n {
+        n if n >= 100.0 || n.fract() == 0.0 => format!("{n:.0}"),
+        n if n < 0.1 => format!("{n:.3}"),
+        n => format!("{n:.2}"),
     }
 }
 
--- a/crates/rehearsal/src/report/mod.rs
+++ b/crates/rehearsal/src/report/mod.rs
@@ -146,7 +146,8 @@
                 all.cpu_s += more;
                 all.memory_kb = all.memory_kb.max(memory_kb);
                 all.descriptors = all.descriptors.max(descriptors);
-                if time > 0.0 {
+                // Ticks of 10 ms say nothing of less than a good part of a second.
+                if time > 0.5 {
                     let (at_s, cores) = (seconds(entry.at), more / time);
                     all.samples.push(Sample { at_s, cores, memory_kb, descriptors });
                 }
--- a/crates/rehearsal/src/scenario/check.rs
+++ b/crates/rehearsal/src/scenario/check.rs
@@ -60,6 +60,11 @@
     /// Where a key of a table stands: the table's header, then the key behind it. Values that carry no place
     /// of their own are found so.
     fn key(&self, table: &str, nth: usize, key: &str) -> Option<Span<usize>> {
+        let dotted = format!("{table}.{key}");
+        self.key_below(table, nth, key).or_else(|| self.key_below("", 0, &dotted))
+    }
+
+    fn key_below(&self, table: &str, nth: usize, key: &str) -> Option<Span<usize>> {
         let mut from = 0;
         if !table.is_empty() {
             let mut seen = 0;
--- a/crates/rehearsal/src/standin/nodes.rs
+++ b/crates/rehearsal/src/standin/nodes.rs
@@ -192,6 +192,11 @@
 }
 
 impl Shared {
+    /// The list that the nodes are in.
+    pub fn list(&self) -> &List {
+        &self.list
+    }
+
     fn request(&self, id: TryId) -> Option<&Arrival> {
         let (index, n) = Arrival::of_id(id)?;
         self.schedule.arrivals.get(index).filter(|a| n < a.tries.len())
@@ -531,9 +536,8 @@
         let room = nodes.cores * (1 + nodes.queue_per_core);
         let draining = locked(&self.wants).1 == Condition::Draining;
         if crowded || draining || life.in_hand.load(Ordering::SeqCst) >= room {
-            self.over(id, attempt, Over::Turned);
             let text = answer("503 Service Unavailable", "X-Unprocessed: 1\r\n", "not taken up\n");
-            return pipe.write(text.as_bytes()).await.is_ok() && !crowded;
+            return self.reply(life, (id, attempt), Over::Turned, text.as_bytes(), pipe).await && !crowded;
         }
         let repeats = request.headers.get("idempotency-key").is_some_and(|key| self.shared.repeats(key));
         let done = self.work(life, if repeats { Duration::from_millis(1) } else { work });
@@ -553,10 +557,9 @@
         let units = known.map_or(1, |a| a.units);
         let body = body(id, attempt, self.shared.secret);
         let text = answer("200 OK", &format!("X-Settled: {units}\r\n"), &body);
-        match self.spoilt(attempt) {
+        let spoilt = match self.spoilt(attempt) {
             Spoil::Not => {
-                self.over(id, attempt, Over::Answered(200));
-                pipe.write(text.as_bytes()).await.is_ok()
+                return self.reply(life, (id, attempt), Over::Answered(200), text.as_bytes(), pipe).await;
             }
             Spoil::Stall => {
                 let _ = pipe.write(&text.as_bytes()[..STALL_AT]).await;
@@ -565,18 +568,52 @@
                     _ = runs.wait_for(|runs| !*runs) => {}
                 }
                 self.over(id, attempt, Over::Spoilt);
-                false
+                return false;
             }
-            Spoil::Rubbish(n) => {
-                let rubbish = match n % 4 {
-                    0 => "\u{0}\u{1}rubbish \r\n\r\n".to_string(),
-                    1 => format!("HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n{body}"),
-                    2 => answer("500 Internal Server Error", "", "no"),
-                    _ => "HTTP/1.1 999999 What\r\nContent-Length: -4\r\n\r\n".to_string(),
-                };
+            Spoil::Rubbish(n) => n % 4,
+        };
+        let rubbish = match spoilt {
+            0 => "\u{0}\u{1}rubbish \r\n\r\n".to_string(),
+            1 => format!("HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n{body}"),
+            2 => answer("500 Internal Server Error", "", "no"),
+            _ => "HTTP/1.1 999999 What\r\nContent-Length: -4\r\n\r\n".to_string(),
+        };
+        self.reply(life, (id, attempt), Over::Spoilt, rubbish.as_bytes(), pipe).await && spoilt == 2
+    }
+
+    /// Writes an answer once the link lets it out; until then the attempt is out. True if the connection can
+    /// serve again.
+    async fn reply(
+        &self,
+        life: &Life,
+        (id, attempt): (TryId, AttemptId),
+        how: Over,
+        text: &[u8],
+        pipe: &mut Pipe,
+    ) -> bool {
+        let mut runs = life.runs.subscribe();
+        let passes = tokio::select! {
+            passes = pipe.passes() => passes,
+            // A dead process answers nothing, though its link is whole again.
+            _ = runs.wait_for(|runs| !*runs) => {
                 self.over(id, attempt, Over::Spoilt);
-                let _ = pipe.write(rubbish.as_bytes()).await;
-                n % 4 == 2
+                return false;
+            }
+        };
+        match passes {
+            // Before the bytes: a limiter that has them may send again at once.
+            Ok(true) => {
+                self.over(id, attempt, how);
+                pipe.put(text).await.is_ok()
+            }
+            Ok(false) => {
+                pipe.ended().await;
+                self.over(id, attempt, Over::Closed);
+                false
+            }
+            Err(_) => {
+                self.over(id, attempt, Over::Closed);
+                false
             }
         }
     }
--- /dev/null
+++ b/crates/rehearsal/tests/ledger.rs
@@ -0,0 +1,573 @@
+//! The judge: a sound history is not accused, and each rule has wrong ones that are caught with their proof.
+mod common;
+
+use common::small;
+use liftrouter_rehearsal::history::{Body, Entry, Event, Listed, NodeNews, Over, Process};
+use liftrouter_rehearsal::ledger::{judge, Facts, Judgement, Verdict};
+use liftrouter_rehearsal::scenario::Scenario;
+use liftrouter_rehearsal::schedule::{Arrival, Customer, Micros, Schedule, Try};
+use proptest::prelude::*;
+
+const MS: Micros = 1_000;
+const QUOTE: usize = 0;
+const BIND: usize = 1;
+const ONCE: usize = 2;
+
+/// A rehearsal told by hand.
+struct Told {
+    scenario: Scenario,
+    schedule: Schedule,
+    history: Vec<Entry>,
+    attempts: u32,
+}
+
+impl Told {
+    fn new() -> Told {
+        let customers = vec![
+            Customer { number: 1, plan: 0, first: 0, spread: 2 },
+            Customer { number: 2, plan: 0, first: 1, spread: 2 },
+        ];
+        let schedule = Schedule {
+            seed: 1,
+            speeds: vec![1.0; 2],
+            customers,
+            arrivals: Vec::new(),
+            faults: Vec::new(),
+            end: 20_000 * MS,
+        };
+        Told { scenario: small(), schedule, history: Vec::new(), attempts: 0 }
+    }
+
+    fn at(&mut self, ms: u64, event: Event) {
+        self.history.push(Entry { at: ms * MS, event });
+    }
+
+    /// A request that is due; gives the id of its first try.
+    fn request(&mut self, ms: u64, class: usize, customer: usize, guess: u32) -> u64 {
+        self.schedule.arrivals.push(Arrival {
+            at: ms * MS,
+            customer,
+            class,
+            units: guess,
+            guess,
+            work: 50 * MS,
+            tries: vec![Try { place: 0, backoff: 0 }; 3],
+            heeds: true,
+            leaves: None,
+        });
+        Arrival::id(self.schedule.arrivals.len() - 1, 0)
+    }
+
+    fn sent(&mut self, ms: u64, class: usize) -> u64 {
+        let id = self.request(ms, class, 0, 1);
+        self.send(ms, id);
+        id
+    }
+
+    fn send(&mut self, ms: u64, id: u64) {
+        self.at(ms, Event::Sent { id, limiter: 0, due: (ms + 2_000) * MS });
+    }
+
+    fn arrives(&mut self, ms: u64, id: u64, node: u8) -> u32 {
+        self.arrives_over(ms, id, node, Vec::new())
+    }
+
+    fn arrives_over(&mut self, ms: u64, id: u64, node: u8, open: Vec<u32>) -> u32 {
+        self.attempts += 1;
+        let attempt = self.attempts;
+        self.at(ms, Event::Arrived { attempt, id, node, life: 0, limiter: 0, first: ms * MS, open });
+        attempt
+    }
+
+    fn over(&mut self, ms: u64, attempt: u32, how: Over) {
+        self.at(ms, Event::Over { attempt, how });
+    }
+
+    fn answered(&mut self, ms: u64, id: u64, status: u16) {
+        self.at(ms, Event::Answered { id, status, advice: None, body: Body::Own });
+    }
+
+    /// A whole request, served.
+    fn served(&mut self, ms: u64, class: usize) -> u64 {
+        let id = self.sent(ms, class);
+        let attempt = self.arrives(ms + 1, id, 0);
+        self.over(ms + 50, attempt, Over::Answered(200));
+        self.answered(ms + 51, id, 200);
+        id
+    }
+
+    fn judge(&mut self) -> Judgement {
+        self.history.sort_by_key(|e| e.at);
+        judge(&Facts { scenario: &self.scenario, schedule: &self.schedule }, &self.history, None)
+    }
+
+    /// The one break, which is of this rule and names this try.
+    fn accused(&mut self, rule: u8, id: Option<u64>) -> String {
+        let j = self.judge();
+        assert_eq!(j.verdict, Verdict::Broken);
+        let rules: Vec<_> = j.breaks.iter().map(|b| (b.rule, &b.what)).collect();
+        assert_eq!(j.breaks.len(), 1, "{rules:?}");
+        assert_eq!(j.breaks[0].rule, rule, "{rules:?}");
+        assert_eq!(j.breaks[0].request, id.map(|id| format!("{id:016x}")));
+        assert!(!j.breaks[0].proof.is_empty(), "it is proven");
+        j.breaks[0].what.clone()
+    }
+
+    fn kept(&mut self) -> Judgement {
+        let j = self.judge();
+        assert_eq!((j.verdict, &j.unjudged), (Verdict::Kept, &None), "{:?} {:?}", j.breaks, j.doubts);
+        j
+    }
+}
+
+// ----- rule 1 -----
+
+#[test]
+fn a_request_without_an_answer_is_lost() {
+    let mut t = Told::new();
+    t.served(0, QUOTE);
+    let id = t.sent(100, QUOTE);
+    t.at(500, Event::Lost { id, bytes: 0 });
+    assert!(t.accused(1, Some(id)).contains("no answer"));
+    let mut t = Told::new();
+    let id = t.sent(100, QUOTE);
+    t.at(3_200, Event::Unanswered { id });
+    assert!(t.accused(1, Some(id)).contains("no answer"));
+    let mut t = Told::new();
+    let id = t.sent(100, QUOTE);
+    assert!(t.accused(1, Some(id)).contains("nothing is known of its end"));
+}
+
+#[test]
+fn a_late_answer_a_second_one_and_a_made_up_one_break_the_rule() {
+    let mut t = Told::new();
+    let id = t.sent(0, QUOTE);
+    t.answered(2_100, id, 502);
+    assert!(t.accused(1, Some(id)).contains("100 ms after its client's deadline"));
+    let mut t = Told::new();
+    let id = t.sent(0, QUOTE);
+    t.answered(2_050, id, 502);
+    t.kept();
+    let mut t = Told::new();
+    let id = t.served(0, QUOTE);
+    t.at(60, Event::Surplus { id, bytes: 80 });
+    assert!(t.accused(1, Some(id)).contains("80 bytes"));
+    let mut t = Told::new();
+    let id = t.sent(0, QUOTE);
+    t.at(10, Event::Answered { id, status: 200, advice: None, body: Body::Foreign });
+    assert!(t.accused(1, Some(id)).contains("no node made"));
+}
+
+#[test]
+fn nothing_goes_out_after_the_answer_and_nothing_that_no_client_sent() {
+    let mut t = Told::new();
+    let id = t.sent(0, QUOTE);
+    t.answered(100, id, 429);
+    t.arrives(400, id, 1);
+    assert!(t.accused(1, Some(id)).contains("300 ms after its final answer"));
+    let mut t = Told::new();
+    t.served(0, QUOTE);
+    t.arrives(10, 0x7777, 1);
+    assert!(t.accused(1, Some(0x7777)).contains("no client sent"));
+}
+
+#[test]
+fn what_a_killed_limiter_held_is_a_class_of_its_own_and_a_crash_is_not() {
+    let mut t = Told::new();
+    // Killed between the node's answer and the client's.
+    let id = t.sent(100, QUOTE);
+    let attempt = t.arrives(101, id, 0);
+    t.over(150, attempt, Over::Answered(200));
+    t.at(150, Event::Limiter { limiter: 0, what: Process::Killed });
+    t.at(151, Event::Lost { id, bytes: 0 });
+    t.at(152, Event::Limiter { limiter: 0, what: Process::Ended(true, None) });
+    assert_eq!(t.kept().counts.held_by_killed, 1);
+    // Another limiter's death excuses nothing.
+    let mut t = Told::new();
+    let id = t.sent(100, QUOTE);
+    t.at(150, Event::Limiter { limiter: 1, what: Process::Killed });
+    t.at(151, Event::Lost { id, bytes: 0 });
+    t.accused(1, Some(id));
+    let mut t = Told::new();
+    t.at(150, Event::Limiter { limiter: 1, what: Process::Ended(false, Some(101)) });
+    assert!(t.accused(1, None).contains("with code 101"));
+    // What a limiter loses after SIGTERM it had taken.
+    let mut t = Told::new();
+    let id = t.sent(100, QUOTE);
+    t.at(50, Event::Limiter { limiter: 0, what: Process::Terminated });
+    t.at(151, Event::Lost { id, bytes: 0 });
+    t.accused(1, Some(id));
+}
+
+#[test]
+fn a_paused_limiter_answers_late_without_blame() {
+    let mut t = Told::new();
+    t.at(500, Event::Limiter { limiter: 0, what: Process::Paused });
+    t.at(5_000, Event::Limiter { limiter: 0, what: Process::Resumed });
+    let id = t.sent(600, QUOTE);
+    t.at(3_700, Event::Unanswered { id });
+    assert_eq!(t.kept().counts.held_by_paused, 1);
+    let later = t.sent(7_000, QUOTE);
+    t.at(10_200, Event::Unanswered { id: later });
+    t.accused(1, Some(later));
+}
+
+#[test]
+fn what_lies_within_the_kit_s_own_lateness_is_a_doubt_and_no_verdict() {
+    let mut t = Told::new();
+    for n in 0..200 {
+        t.at(n * 20, Event::Late { by: if n == 105 { 300 * MS } else { 100 } });
+    }
+    let id = t.sent(0, QUOTE);
+    t.answered(2_100, id, 502);
+    let j = t.judge();
+    assert_eq!((j.verdict, j.doubts.len(), j.breaks.len()), (Verdict::Unjudged, 1, 0));
+    // The same far from where the kit was late is a break.
+    let mut t = Told::new();
+    t.at(9_000, Event::Late { by: 300 * MS });
+    (0..200).for_each(|n| t.at(n * 20, Event::Late { by: 100 }));
+    let id = t.sent(0, QUOTE);
+    t.answered(2_100, id, 502);
+    t.accused(1, Some(id));
+}
+
+#[test]
+fn a_machine_that_was_too_busy_is_said_to_be() {
+    let mut t = Told::new();
+    t.served(0, QUOTE);
+    (0..100).for_each(|n| t.at(n * 20, Event::Late { by: if n % 10 == 0 { 80 * MS } else { 100 } }));
+    let j = t.judge();
+    assert_eq!(j.verdict, Verdict::Unjudged);
+    assert!(j.unjudged.is_some_and(|why| why.contains("too busy") && why.contains("10.0 %")));
+}
+
+// ----- rule 2 -----
+
+#[test]
+fn two_attempts_at_once_break_the_rule_in_every_class() {
+    for class in [QUOTE, BIND, ONCE] {
+        let mut t = Told::new();
+        let id = t.sent(0, class);
+        let first = t.arrives(1, id, 0);
+        let second = t.arrives_over(30, id, 1, vec![first]);
+        t.over(50, first, Over::Turned);
+        t.over(60, second, Over::Answered(200));
+        t.answered(61, id, 200);
+        assert!(t.accused(2, Some(id)).contains("still open"));
+    }
+}
+
+#[test]
+fn a_resend_is_judged_by_its_class() {
+    for (class, first, kept) in [
+        (QUOTE, Over::Closed, true),
+        (BIND, Over::Closed, true),
+        (ONCE, Over::Closed, false),
+        (ONCE, Over::Spoilt, false),
+        (ONCE, Over::Turned, true),
+    ] {
+        let mut t = Told::new();
+        let id = t.sent(0, class);
+        let a = t.arrives(1, id, 0);
+        t.over(30, a, first);
+        let b = t.arrives(31, id, 1);
+        t.over(60, b, Over::Answered(200));
+        t.answered(61, id, 200);
+        if kept {
+            assert_eq!(t.kept().counts.resends, 1);
+        } else {
+            assert!(t.accused(2, Some(id)).contains("may have run"), "{class} {first:?}");
+        }
+    }
+}
+
+#[test]
+fn a_key_is_not_sent_again_once_it_may_be_forgotten() {
+    let mut t = Told::new();
+    let id = t.request(0, BIND, 0, 1);
+    t.at(0, Event::Sent { id, limiter: 0, due: 15_000 * MS });
+    let a = t.arrives(1, id, 0);
+    t.over(9_000, a, Over::Closed);
+    let b = t.arrives(10_200, id, 1);
+    t.over(10_250, b, Over::Answered(200));
+    t.answered(10_251, id, 200);
+    assert!(t.accused(2, Some(id)).contains("remembered for 10.0 s"));
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_not_refused_and_there_is_a_most() {
+    let mut t = Told::new();
+    let id = t.sent(0, ONCE);
+    let a = t.arrives(1, id, 0);
+    t.over(30, a, Over::Closed);
+    t.answered(31, id, 503);
+    assert!(t.accused(2, Some(id)).contains("refused"));
+    let mut t = Told::new();
+    let id = t.sent(0, QUOTE);
+    for n in 0..6 {
+        let a = t.arrives(1 + n * 10, id, 0);
+        t.over(5 + n * 10, a, Over::Turned);
+    }
+    t.answered(100, id, 429);
+    assert!(t.accused(2, Some(id)).contains("6th time"));
+}
+
+// ----- rule 3 -----
+
+fn told(t: &mut Told, ms: u64, life: u32, state: Listed) {
+    t.at(ms, Event::Told { limiter: 0, node: 0, life, state });
+}
+
+#[test]
+fn nothing_new_goes_to_a_node_that_drains_or_is_gone() {
+    for state in [Listed::Draining, Listed::Gone] {
+        let mut t = Told::new();
+        told(&mut t, 0, 0, Listed::InService);
+        told(&mut t, 1_000, 0, state);
+        t.served(1_250, QUOTE);
+        t.kept();
+        let id = t.served(1_400, QUOTE);
+        assert!(t.accused(3, Some(id)).contains("401 ms after"));
+    }
+}
+
+#[test]
+fn the_grace_counts_from_the_drain_and_a_new_process_may_be_sent_to() {
+    let mut t = Told::new();
+    told(&mut t, 1_000, 0, Listed::Draining);
+    told(&mut t, 2_000, 0, Listed::Gone);
+    let id = t.served(2_100, QUOTE);
+    t.accused(3, Some(id));
+    let mut t = Told::new();
+    told(&mut t, 1_000, 0, Listed::Draining);
+    told(&mut t, 2_000, 1, Listed::InService);
+    t.served(2_500, QUOTE);
+    t.kept();
+    // A limiter that starts anew has been told nothing yet.
+    let mut t = Told::new();
+    told(&mut t, 1_000, 0, Listed::Draining);
+    t.at(1_500, Event::Limiter { limiter: 0, what: Process::Started });
+    t.served(2_500, QUOTE);
+    t.kept();
+}
+
+// ----- rule 4 -----
+
+/// So many requests of 50 ms to a node of three cores that starts at a quarter of its capacity: 3 x 0.75 x 2 s
+/// and the slack of two large requests are 5 s.
+fn on_cold(count: u64, knew: bool) -> (Told, Vec<u64>) {
+    let mut t = Told::new();
+    t.at(1_000, Event::Node { node: 0, life: 0, what: NodeNews::Started { cold: true } });
+    if knew {
+        told(&mut t, 1_001, 0, Listed::InService);
+    }
+    let ids = (0..count).map(|n| {
+        // Many customers: no ceiling is at stake.
+        t.schedule.customers.push(Customer { number: 100 + n, plan: 0, first: 0, spread: 2 });
+        let id = t.request(1_010 + n, QUOTE, n as usize + 2, 1);
+        t.send(1_010 + n, id);
+        let attempt = t.arrives(1_011 + n, id, 0);
+        t.over(1_400 + n, attempt, Over::Answered(200));
+        t.answered(1_401 + n, id, 200);
+        id
+    });
+    let ids = ids.collect();
+    (t, ids)
+}
+
+#[test]
+fn a_cold_node_is_pushed_over_only_by_those_that_knew() {
+    on_cold(90, true).0.kept();
+    let (mut t, _) = on_cold(140, true);
+    let j = t.judge();
+    let rules: Vec<_> = j.breaks.iter().map(|b| b.rule).collect();
+    assert_eq!(rules, [4], "once for each start: {:?}", j.breaks);
+    assert!(j.breaks[0].what.contains("100 % of it by limiters that knew"), "{}", j.breaks[0].what);
+    on_cold(140, false).0.kept();
+}
+
+// ----- rule 5 -----
+
+#[test]
+fn a_ceiling_holds_over_all_limiters_with_its_slack() {
+    // Burst: depth 16 (four of the largest requests) times 2; rate 10 a second; slack 4, and what 150 ms give.
+    let run = |count: u64| {
+        let mut t = Told::new();
+        let ids: Vec<u64> = (0..count)
+            .map(|n| {
+                let id = t.request(n, QUOTE, 0, 4);
+                t.at(n, Event::Sent { id, limiter: (n % 2) as u8, due: 2_000 * MS });
+                let attempt = t.arrives(n + 1, id, 0);
+                t.over(n + 1, attempt, Over::Answered(200));
+                t.answered(n + 3, id, 200);
+                id
+            })
+            .collect();
+        (t, ids)
+    };
+    run(9).0.kept();
+    let (mut t, ids) = run(10);
+    assert!(t.accused(5, Some(ids[9])).contains("beyond its ceiling"));
+}
+
+#[test]
+fn a_resend_takes_no_units_and_a_cap_at_once_has_its_slack() {
+    let mut t = Told::new();
+    let id = t.request(0, QUOTE, 0, 4);
+    t.send(0, id);
+    for n in 0..5 {
+        let a = t.arrives(1 + n, id, 0);
+        t.over(1 + n, a, Over::Turned);
+    }
+    t.answered(20, id, 429);
+    t.kept();
+    // Three at once, twice that and one for each limiter of the set: eight.
+    let at_once = |count: u64| {
+        let mut t = Told::new();
+        let open: Vec<_> = (0..count)
+            .map(|n| {
+                let id = t.request(n, QUOTE, 1, 1);
+                t.send(n, id);
+                (id, t.arrives(n + 1, id, 0))
+            })
+            .collect();
+        for (id, attempt) in &open {
+            t.over(500, *attempt, Over::Answered(200));
+            t.answered(501, *id, 200);
+        }
+        (t, open)
+    };
+    at_once(8).0.kept();
+    let (mut t, open) = at_once(9);
+    assert!(t.accused(5, Some(open[8].0)).contains("9 attempts out at once"));
+}
+
+// ----- service and accounts -----
+
+#[test]
+fn service_counts_worth_in_time_inside_quotas() {
+    let mut t = Told::new();
+    t.served(0, QUOTE);
+    t.served(200, BIND);
+    let j = t.kept();
+    assert_eq!((j.service.whole, j.service.worst_plan), (1.0, 1.0));
+    // The same again, late, and once refused: of 7 + 2 + 5 worth, 7 is served.
+    let slow = t.sent(400, QUOTE);
+    let attempt = t.arrives(401, slow, 0);
+    t.over(1_200, attempt, Over::Answered(200));
+    t.answered(1_201, slow, 200);
+    let refused = t.sent(600, BIND);
+    t.answered(601, refused, 429);
+    let j = t.kept();
+    assert!((j.service.whole - 0.5).abs() < 1e-9, "{}", j.service.whole);
+    assert!(j.service.prices.late_fail > 0.0 && j.service.prices.waste == 0.0);
+    assert_eq!((j.counts.served, j.counts.refused, j.counts.requests), (3, 1, 4));
+}
+
+#[test]
+fn a_retry_that_is_served_in_time_serves_its_request() {
+    let mut t = Told::new();
+    let first = t.sent(0, QUOTE);
+    t.answered(5, first, 429);
+    let again = first + 1;
+    t.send(100, again);
+    let attempt = t.arrives(101, again, 0);
+    t.over(150, attempt, Over::Answered(200));
+    t.answered(151, again, 200);
+    let j = t.kept();
+    assert_eq!((j.service.whole, j.counts.requests, j.counts.tries), (1.0, 1, 2));
+}
+
+#[test]
+fn what_lies_beyond_a_quota_earns_nothing_and_costs() {
+    // A burst of 16 units: the fifth request of four lies beyond.
+    let mut t = Told::new();
+    for n in 0..5 {
+        let id = t.request(n, QUOTE, 0, 4);
+        t.send(n, id);
+        let attempt = t.arrives(n + 1, id, 0);
+        t.over(n + 1, attempt, Over::Answered(200));
+        t.answered(n + 20, id, 200);
+    }
+    let j = t.kept();
+    assert_eq!(j.service.whole, 1.0);
+    assert!((j.service.prices.over_quota - 0.25).abs() < 1e-9, "{:?}", j.service.prices);
+    assert!((j.service.asked_beyond - 0.2).abs() < 1e-9);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Whatever happens to the tries, each is counted once.
+    #[test]
+    fn every_try_is_accounted_for_once(ends in proptest::collection::vec(0usize..9, 1..80), paused: bool) {
+        let mut t = Told::new();
+        if paused {
+            t.at(100, Event::Limiter { limiter: 0, what: Process::Paused });
+        }
+        for (n, end) in ends.iter().enumerate() {
+            let ms = 10 * n as u64;
+            let id = t.request(ms, QUOTE, n % 2, 1);
+            match end {
+                0 => t.at(ms, Event::Unreached { id, limiter: 0 }),
+                n => {
+                    t.send(ms, id);
+                    match n {
+                        1 => t.answered(ms + 5, id, 200),
+                        2 => t.answered(ms + 5, id, 429),
+                        3 => t.at(ms + 5, Event::Answered { id, status: 503, advice: Some(9), body: Body::Own }),
+                        4 => t.answered(ms + 5, id, 502),
+                        5 => t.at(ms + 5, Event::Left { id }),
+                        6 => t.at(ms + 5, Event::Lost { id, bytes: 3 }),
+                        7 => t.at(ms + 3_000, Event::Unanswered { id }),
+                        _ => {}
+                    }
+                }
+            }
+        }
+        let c = t.judge().counts;
+        let all = c.served + c.refused + c.refused_advised + c.failed + c.left + c.unreached + c.lost
+            + c.held_by_killed + c.held_by_paused + c.open;
+        prop_assert_eq!(all, ends.len());
+        prop_assert_eq!(c.tries, ends.len());
+    }
+
+    /// A limiter that keeps the rules is not accused, whatever it serves, refuses and sends again.
+    #[test]
+    fn a_sound_history_is_never_accused(steps in proptest::collection::vec((10u64..400, 0usize..3, 0u32..4), 1..120)) {
+        let mut t = Told::new();
+        told(&mut t, 0, 0, Listed::InService);
+        let (mut ms, mut units) = (0, 0);
+        for (pause, class, course) in steps {
+            ms += pause;
+            let id = t.sent(ms, class);
+            // Never more than a half of what the ceiling gives in that time.
+            let room = 16 + ms / 200;
+            match course {
+                0 => t.answered(ms + 1, id, 429),
+                _ if units >= room => t.answered(ms + 1, id, 429),
+                1 => {
+                    units += 1;
+                    let a = t.arrives(ms + 1, id, 0);
+                    t.over(ms + 40, a, Over::Answered(200));
+                    t.answered(ms + 41, id, 200);
+                }
+                2 => {
+                    units += 1;
+                    let a = t.arrives(ms + 1, id, 0);
+                    t.over(ms + 2, a, Over::Turned);
+                    let b = t.arrives(ms + 3, id, 1);
+                    t.over(ms + 40, b, Over::Answered(200));
+                    t.answered(ms + 41, id, 200);
+                }
+                _ => {
+                    units += 1;
+                    let a = t.arrives(ms + 1, id, 0);
+                    t.over(ms + 40, a, Over::Closed);
+                    t.answered(ms + 41, id, 502);
+                }
+            }
+        }
+        t.kept();
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/tests/scenarios.rs
@@ -0,0 +1,123 @@
+//! Scenario files: what is in the repository can be played, and what cannot be is named with its place.
+mod common;
+
+use common::{root, small, SMALL};
+use liftrouter_rehearsal::scenario::{Kind, Scenario, KINDS};
+
+fn problems(text: &str) -> Vec<String> {
+    let problems = Scenario::parse("s.toml", text).expect_err("it cannot be played");
+    problems.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn every_scenario_of_the_repository_can_be_played() {
+    let files = std::fs::read_dir(root().join("scenarios")).expect("the folder");
+    let mut seen = 0;
+    for file in
+        files.map(|f| f.expect("a file").path()).filter(|p| p.extension().is_some_and(|e| e == "toml"))
+    {
+        let scenario = Scenario::read(&file).unwrap_or_else(|p| panic!("{}", p[0]));
+        assert!(!scenario.about.is_empty(), "{}: it says what it shows", file.display());
+        seen += 1;
+    }
+    assert!(seen >= 3, "{seen} scenarios");
+}
+
+#[test]
+fn the_carnival_holds_every_failure_of_the_incident_record() {
+    let carnival = Scenario::read(&root().join("scenarios/carnival.toml")).expect("it can be played");
+    let kinds: Vec<_> =
+        carnival.faults.iter().filter_map(|f| Kind::named(f.get_ref().what.get_ref())).collect();
+    for about in KINDS.iter().filter(|a| a.kind != Kind::StandInPanics) {
+        assert!(kinds.contains(&about.kind), "{} is missing", about.name);
+    }
+    assert_eq!(carnival.length_s, 600.0);
+}
+
+#[test]
+fn a_fault_names_its_line_what_was_found_and_what_was_expected() {
+    let fault = |lines: &str| format!("{SMALL}\n[[fault]]\n{lines}\n");
+    // SMALL has 44 lines and ends with one; the fault's own begin at 47.
+    let line = SMALL.lines().count() + 3;
+    for (lines, expected) in [
+        (
+            "what = \"keeper-sillent\"\nat_s = 1.0",
+            "what is \"keeper-sillent\", expected one of keeper-silent, ",
+        ),
+        ("what = \"keeper-silent\"\nat_s = 1.0", "for_s is missing, expected how long keeper-silent lasts"),
+        (
+            "what = \"node-killed\"\nvictim = \"s-9\"\nat_s = 1.0\nfor_s = 1.0",
+            "victim is \"s-9\", expected one of s-0, s-1",
+        ),
+        (
+            "what = \"keeper-slow\"\nsize = 0.5\nat_s = 1.0\nfor_s = 1.0",
+            "size (times slower) is 0.5, expected 1 to 1000",
+        ),
+        (
+            "what = \"list-silent\"\nat_s = 99.0\nfor_s = 1.0",
+            "at_s is 99, expected a number or a range [least, most] within 0 to 20",
+        ),
+        ("what = \"list-silent\"\nat_s = [5.0, 2.0]\nfor_s = 1.0", "at_s is [5, 2], expected"),
+        (
+            "what = \"list-silent\"\npeer = \"keeper\"\nat_s = 1.0\nfor_s = 1.0",
+            "peer is given, but list-silent is no fault of links",
+        ),
+        (
+            "what = \"keeper-forgets\"\nat_s = 1.0\nfor_s = 1.0",
+            "for_s is given, but keeper-forgets does not last",
+        ),
+        (
+            "what = \"node-restarted\"\nat_s = 1.0\ntimes = 3",
+            "every_s is missing, expected the seconds between two",
+        ),
+    ] {
+        let found = problems(&fault(lines));
+        assert_eq!(found.len(), 1, "{found:?}");
+        assert!(found[0].contains(expected), "{found:?} for {expected}");
+        let place: Vec<&str> = found[0].splitn(4, ':').collect();
+        let at: usize = place[1].parse().expect("a line");
+        assert!(
+            place[0] == "s.toml" && (line - 1..line + 4).contains(&at),
+            "{found:?}, expected about line {line}"
+        );
+    }
+}
+
+#[test]
+fn faults_beside_the_timeline_are_named_too_and_all_at_once() {
+    let text =
+        SMALL.replace("aim_ms = 500.0\ndeadline_ms = 15000.0", "aim_ms = 20000.0\ndeadline_ms = 15000.0");
+    let text = text.replace("nodes.count = 2", "nodes.count = 0").replace("rate = 5.0", "rate = -1.0");
+    let found = problems(&text);
+    assert_eq!(found.len(), 3, "{found:?}");
+    assert!(
+        found.iter().any(|f| f.contains("aim_ms is 20000, expected a number from 1 to 15000")),
+        "{found:?}"
+    );
+    assert!(found.iter().any(|f| f.starts_with("s.toml:22:1: aim_ms")), "the second class's: {found:?}");
+    assert!(found[0].starts_with("s.toml:5:1: count is 0, expected a number from 1 to 64"), "{found:?}");
+    let unknown = problems(&SMALL.replace("share = 1.0", "share = 1.0\nshear = 2.0"));
+    assert!(unknown[0].contains("unknown field `shear`") && unknown[0].starts_with("s.toml:"), "{unknown:?}");
+    let twice = problems(&SMALL.replace("name = \"bind\"", "name = \"quote\""));
+    assert!(twice[0].contains("\"quote\" is given twice"), "{twice:?}");
+}
+
+#[test]
+fn bytes_of_any_kind_are_a_problem_and_no_panic() {
+    let mut rng = fastrand::Rng::with_seed(7);
+    for _ in 0..2_000 {
+        let mut text = SMALL.as_bytes().to_vec();
+        for _ in 0..rng.usize(1..6) {
+            let at = rng.usize(0..text.len());
+            match rng.u8(0..3) {
+                0 => text[at] = rng.u8(..),
+                1 => drop(text.drain(at..(at + rng.usize(0..40)).min(text.len()))),
+                _ => text.insert(at, rng.u8(..)),
+            }
+        }
+        if let Ok(text) = String::from_utf8(text) {
+            let _ = Scenario::parse("s.toml", &text);
+        }
+    }
+    assert_eq!(small().name, "small");
+}
