--- a/crates/inventory/src/csv_form.rs
+++ b/crates/inventory/src/csv_form.rs
@@ -4,9 +4,21 @@
 use crate::model::{shown, Cell, Faults, Place, Raw, Row, COLUMNS, MOST_NODES};
 use std::borrow::Cow;
 
+/// The longest line, in bytes.
+const LONGEST_LINE: usize = 4_096;
+
 /// Reads the values; every fault of the form is named.
 pub fn read<'a>(text: &'a str, faults: &mut Faults) -> Raw<'a> {
     let mut raw = Raw::default();
+    for (n, line) in text.split('\n').enumerate().filter(|(_, line)| line.len() > LONGEST_LINE) {
+        // Not split: the fields of such a line can take many times its bytes.
+        raw.unreadable = true;
+        let reason = format!("a line of {} bytes, expected {LONGEST_LINE} at most", line.len());
+        faults.add((n + 1, 1), None, reason);
+    }
+    if raw.unreadable {
+        return raw;
+    }
     let mut header: Option<Vec<Option<usize>>> = None;
     // Both ends of lines are accepted; the library is given one, so that a stray carriage return ends no row.
     let plain =
--- a/crates/inventory/src/yaml_form.rs
+++ b/crates/inventory/src/yaml_form.rs
@@ -290,6 +290,7 @@
     let mut anchors: HashMap<usize, Rc<Tree>> = HashMap::new();
     let mut document = Document { root: None, cycles: Vec::new(), ended: false };
     let mut documents = 0;
+    let mut values = 0;
     let mut parser = Parser::new_from_str(text);
     loop {
         let (event, span) = match parser.next_event() {
@@ -303,6 +304,10 @@
             }
         };
         let at = place(span.start);
+        values += 1;
+        if values > MOST_VALUES {
+            return Err(Stop::Fault(at, format!("over {MOST_VALUES} values, of which none are read on")));
+        }
         let leaf = |kind| Rc::new(Tree { at, size: 1, kind });
         let (done, anchor) = match event {
             Event::StreamEnd => break,
--- a/crates/inventory/tests/read.rs
+++ b/crates/inventory/tests/read.rs
@@ -238,6 +238,15 @@
     assert!(found.iter().any(|f| f.contains("over 200 aliases point to no anchor")), "{found:?}");
 }
 
+#[test]
+fn large_files_of_little_sense_are_refused_unsplit() {
+    let commas = ",".repeat(8 << 20);
+    assert_eq!(said(csv(&commas)), ["n.csv:1:1: a line of 8388608 bytes, expected 4096 at most"]);
+    let values = format!("nodes: [{}]\n", "a,".repeat(4_000_000));
+    let found = said(yaml(&values));
+    assert!(found.len() == 1 && found[0].contains("over 3600000 values"), "{found:?}");
+}
+
 #[test]
 fn mutated_files_never_panic_and_what_is_accepted_holds_together() {
     let mut rng = fastrand::Rng::with_seed(11);
--- a/crates/rehearsal/src/measure.rs
+++ b/crates/rehearsal/src/measure.rs
@@ -17,7 +17,7 @@
 use tokio::time::sleep;
 
 /// Rates that are tried, in first tries a second.
-const RATES: [f64; 6] = [250.0, 500.0, 1_000.0, 2_000.0, 4_000.0, 8_000.0];
+const RATES: [f64; 7] = [250.0, 500.0, 1_000.0, 2_000.0, 4_000.0, 8_000.0, 16_000.0];
 /// Requests open at once where limiter and proxy are compared, and how often each has its turn.
 const AT_ONCE: usize = 32;
 const ROUNDS: usize = 5;
