--- a/crates/decision/src/policy/mod.rs
+++ b/crates/decision/src/policy/mod.rs
@@ -1,7 +1,8 @@
 //! The decision module; its interface is in `interface.rs`.
 //!
-//! Cut by what is decided: [`quota`] whether a customer may, [`fleet`] which server can, [`life`] what becomes
-//! of a request in between. Each holds its own state; `life` calls the other two, and they know nobody.
+//! Cut by what is decided: [`quota`] whether a customer may, [`fleet`] which server can, [`life`] what
+//! becomes of a request in between. Each holds its own state; `life` calls the other two, and they know
+//! nobody.
 
 mod fleet;
 mod life;
