Test what a removed and a moved node of the inventory file do to open attempts

Need: the effects of adoption on what is open were written down and not shown. Change: a daemon test: an attempt at a node whose id moves goes on where it is, one at a node that is removed is ended at once and its request served elsewhere.

--- a/crates/daemon/tests/inventory.rs
+++ b/crates/daemon/tests/inventory.rs
@@ -189,6 +189,29 @@
     (0..20).for_each(|_| assert_eq!(served_by(&limiter), "b 4"));
 }
 
+#[test]
+fn what_is_open_at_a_removed_node_is_ended_and_at_a_moved_one_goes_on() {
+    let (room, b) = (Room::new("most_removed = 1.0\n"), server("b"));
+    let silent = Fake::new(|_| Reply::Silence);
+    let only = |version, at: SocketAddr| csv(version, &[("s-a", at, "in_service")]);
+    rename_over(&room.file, &only(1, silent.address));
+    let limiter = room.limiter();
+    wait_until("it is up", || limiter.up());
+    let mut client = limiter.client();
+    client.send(&quote("roomy", 2_000));
+    wait_until("it is at the silent one", || silent.count() == 1);
+    // The same id elsewhere: what is open goes on where it is, what is new goes there.
+    rename_over(&room.file, &only(2, b.address));
+    wait_until("the move is adopted", || limiter.errors().contains("version 2 adopted"));
+    assert_eq!(served_by(&limiter), "b 2");
+    assert!(silent.let_go().is_empty(), "the open attempt is left alone");
+    // Removed: the open attempt is ended at once, and a safe request goes to another node.
+    rename_over(&room.file, &csv(3, &[("s-b", b.address, "in_service")]));
+    let answer = client.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.text().as_str()), (200, "b 3"));
+    wait_until("its connection is closed", || silent.let_go().len() == 1);
+}
+
 #[test]
 fn the_operator_s_file_is_checked_at_the_start() {
     let (room, _) = (Room::new("quiet_ms = 0\n"), ());
