Say what a second Ctrl-C does, which is nothing; room for the last label of the page's charts

Cause: page and comment said that a second Ctrl-C ends the kit at once; it is taken and ignored while the limiters end.

--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -221,7 +221,7 @@
     let (played, runtime) = (scenario.clone(), runtime()?);
     let outcome = runtime.block_on(async {
         tokio::spawn(async move {
-            // A second Ctrl-C ends the program at once; the limiters are ended with it.
+            // Further ones change nothing: ending the limiters and writing the report takes a moment.
             if tokio::signal::ctrl_c().await.is_ok() {
                 let _ = interrupt.send(true);
             }
--- a/crates/rehearsal/src/report/html.rs
+++ b/crates/rehearsal/src/report/html.rs
@@ -8,7 +8,7 @@
 
 const WIDTH: f64 = 1_080.0;
 const LEFT: f64 = 56.0;
-const RIGHT: f64 = 12.0;
+const RIGHT: f64 = 20.0;
 const COLORS: [&str; 8] =
     ["#1b6ca8", "#d1495b", "#edae49", "#66a182", "#7d5ba6", "#5c6b73", "#c97b36", "#2e4057"];
 /// Breaks that the page lists.
