Stand-ins serve their addresses through one function of the link

Cause: keeper, list and nodes each opened a door, spawned its keeping and gave its address by the same lines; service.rs asserted that an id is above 0, which no caller could doubt. Behaviour stays.

--- a/crates/rehearsal/src/net/link.rs
+++ b/crates/rehearsal/src/net/link.rs
@@ -232,11 +232,28 @@
     }
 }
 
+/// Listens on an address at the end of a link, open or closed as it is told, and hands over what comes through;
+/// gives the address.
+///
+/// # Errors
+/// It cannot be listened on. One that is taken while it is closed makes the stand-in panic.
+pub fn serve(
+    reserved: Reserved,
+    link: Arc<Link>,
+    open: watch::Receiver<bool>,
+    on: impl FnMut(Pipe) + Send + 'static,
+) -> io::Result<SocketAddr> {
+    let door = reserved.open(link.clone())?;
+    let address = door.address;
+    tokio::spawn(async move { keep(door, link, open, on).await.expect("a stand-in's address") });
+    Ok(address)
+}
+
 /// Keeps a door open or closed as it is told, and hands over what comes through.
 ///
 /// # Errors
 /// As the system says.
-pub async fn keep(
+async fn keep(
     mut door: Door,
     link: Arc<Link>,
     mut open: watch::Receiver<bool>,
