Decision module answers permissions; crate for external authorisation without I/O

Need: partners' platforms ask permission before they call (external authorisation over gRPC), and a permission must draw on the same quota, ceiling and cap as a request that is sent on.

Change: event Permission and action Permit. A permission passes the same tests in the same order as a request, with the same draws of chance; granted, its units are drawn at once and it counts as out until it is due, or until its client is known never to have got it.

--- /dev/null
+++ b/crates/authz/tests/answers.rs
@@ -0,0 +1,198 @@
+//! What an authoriser's answer means, what it may do to headers, and when it is left alone.
+
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use liftrouter_authz::messages::envoy::config::core::v3::{HeaderValue as Pair, HeaderValueOption};
+use liftrouter_authz::messages::envoy::r#type::v3::HttpStatus;
+use liftrouter_authz::messages::envoy::service::auth::v3::check_response::HttpResponse;
+use liftrouter_authz::messages::envoy::service::auth::v3::{
+    CheckResponse, DeniedHttpResponse, OkHttpResponse,
+};
+use liftrouter_authz::messages::google::rpc::Status;
+use liftrouter_authz::{denied, permitted, verdict, Breaker, BreakerPolicy, Denial, Verdict};
+use proptest::prelude::*;
+
+/// APPEND_IF_EXISTS_OR_ADD and so on, as the published enumeration numbers them.
+const ADD_IF_ABSENT: i32 = 1;
+const OVERWRITE_IF_EXISTS_OR_ADD: i32 = 2;
+const OVERWRITE_IF_EXISTS: i32 = 3;
+
+fn option(key: &str, value: &str, append: Option<bool>, append_action: i32) -> HeaderValueOption {
+    let header = Pair { key: key.into(), value: value.into(), raw_value: Vec::new() };
+    HeaderValueOption { header: Some(header), append, append_action, keep_empty_value: false }
+}
+
+fn answer(code: i32, http_response: Option<HttpResponse>) -> CheckResponse {
+    CheckResponse { status: Some(Status { code, message: String::new() }), http_response }
+}
+
+fn ok(headers: Vec<HeaderValueOption>, remove: &[&str]) -> CheckResponse {
+    let headers_to_remove = remove.iter().map(ToString::to_string).collect();
+    let ok = OkHttpResponse { headers, headers_to_remove, ..OkHttpResponse::default() };
+    answer(0, Some(HttpResponse::OkResponse(ok)))
+}
+
+/// The headers after an OK, sorted as `name: value`, and the names that were left alone.
+fn after(response: CheckResponse, before: &[(&'static str, &'static str)]) -> (Vec<String>, Vec<String>) {
+    let Ok(Verdict::Allow(changes)) = verdict(response) else { panic!("not allowed") };
+    let mut headers = HeaderMap::new();
+    for (name, value) in before {
+        headers.append(HeaderName::from_static(name), HeaderValue::from_static(value));
+    }
+    let own = [HeaderName::from_static("x-correlation-id")];
+    let left = changes.apply(&mut headers, &own);
+    let mut lines: Vec<_> =
+        headers.iter().map(|(n, v)| format!("{n}: {}", v.to_str().unwrap_or("?"))).collect();
+    lines.sort();
+    (lines, left.iter().map(ToString::to_string).collect())
+}
+
+#[test]
+fn headers_are_appended_overwritten_and_removed_as_the_protocol_says() {
+    let before = &[("x-a", "1")];
+    for (append, action, there, absent) in [
+        (Some(true), 0, &["x-a: 1", "x-a: 2"][..], &["x-a: 2"][..]),
+        (Some(false), 0, &["x-a: 2"], &["x-a: 2"]),
+        // Neither given: "by leaving append as false, the filter will either add a new header, or override".
+        (None, 0, &["x-a: 2"], &["x-a: 2"]),
+        (None, ADD_IF_ABSENT, &["x-a: 1"], &["x-a: 2"]),
+        (None, OVERWRITE_IF_EXISTS_OR_ADD, &["x-a: 2"], &["x-a: 2"]),
+        (None, OVERWRITE_IF_EXISTS, &["x-a: 2"], &[]),
+        // An action of a later version is taken as overwriting, the default.
+        (None, 99, &["x-a: 2"], &["x-a: 2"]),
+    ] {
+        let response = ok(vec![option("X-A", "2", append, action)], &[]);
+        assert_eq!(after(response.clone(), before).0, there, "{append:?} {action}");
+        assert_eq!(after(response, &[]).0, absent, "{append:?} {action}, absent before");
+    }
+    assert_eq!(after(ok(vec![], &["x-a"]), before).0, Vec::<String>::new());
+    // Removed first, then set.
+    assert_eq!(after(ok(vec![option("x-a", "2", Some(true), 0)], &["x-a"]), before).0, ["x-a: 2"]);
+}
+
+#[test]
+fn the_limiters_own_headers_and_those_of_one_hop_are_left_alone() {
+    let names = ["x-correlation-id", "host", "content-length", "transfer-encoding", "connection"];
+    for name in names {
+        let set = after(ok(vec![option(name, "evil", None, 0)], &[]), &[("x-correlation-id", "1")]);
+        assert_eq!(set, (vec!["x-correlation-id: 1".into()], vec![name.into()]));
+        let removed = after(ok(vec![], &[name]), &[("x-correlation-id", "1")]);
+        assert_eq!(removed, (vec!["x-correlation-id: 1".into()], vec![name.into()]));
+    }
+}
+
+#[test]
+fn answers_that_cannot_be_meant_are_errors_not_grants() {
+    let denied = |status| {
+        let status = Some(HttpStatus { code: status });
+        Some(HttpResponse::DeniedResponse(DeniedHttpResponse { status, ..DeniedHttpResponse::default() }))
+    };
+    for (response, expected) in [
+        (answer(0, denied(403)), "denied_response beside status OK"),
+        (answer(7, Some(HttpResponse::OkResponse(OkHttpResponse::default()))), "ok_response beside status 7"),
+        (answer(7, denied(200)), "status 200, expected one from 400 to 599"),
+        (answer(7, denied(-1)), "status -1, expected"),
+        (ok(vec![option(":path", "/", None, 0)], &[]), "\":path\", expected a header's name"),
+        (ok(vec![option("a b", "1", None, 0)], &[]), "\"a b\", expected a header's name"),
+        (ok(vec![option("x-a", "1\r\nx-b: 2", None, 0)], &[]), "the value of x-a holds bytes"),
+        (ok(vec![HeaderValueOption::default()], &[]), "a header without name and value"),
+        (ok(vec![option("x-a", "1", None, 0); 65], &[]), "65 headers, expected 64 at most"),
+    ] {
+        let found = verdict(response).err().unwrap_or_default();
+        assert!(found.contains(expected), "{found:?} holds no {expected:?}");
+    }
+}
+
+#[test]
+fn a_denial_without_a_status_is_403_and_an_answer_without_anything_allows() {
+    let Ok(Verdict::Deny(plain)) = verdict(answer(7, None)) else { panic!("allowed") };
+    assert_eq!((plain.status, plain.code), (403, 7));
+    // Proto3: an absent status is code 0, which is OK.
+    assert!(matches!(verdict(CheckResponse::default()), Ok(Verdict::Allow(_))));
+}
+
+#[test]
+fn what_the_limiter_answers_it_also_reads() {
+    let denial = Denial {
+        status: 429,
+        code: 8,
+        headers: vec![("retry-after".into(), "0.250".into())],
+        body: "refused\n".into(),
+    };
+    assert_eq!(verdict(denied(denial.clone())), Ok(Verdict::Deny(denial)));
+    assert_eq!(after(permitted([("x-a", "1".to_string())]), &[("x-a", "0")]).0, ["x-a: 1"]);
+}
+
+fn breaker() -> Breaker {
+    Breaker::new(BreakerPolicy { failures: 3, rest: 1.0, most_rest: 4.0 })
+}
+
+fn fail(b: &mut Breaker, now: f64) {
+    let leave = b.leave(now).expect("leave");
+    b.ended(now, leave, Some(false));
+}
+
+#[test]
+fn it_opens_after_failures_in_a_row_and_lets_one_try() {
+    let mut b = breaker();
+    fail(&mut b, 0.0);
+    fail(&mut b, 0.0);
+    let leave = b.leave(0.0).expect("leave");
+    b.ended(0.0, leave, Some(true));
+    for _ in 0..3 {
+        assert!(b.is_closed());
+        fail(&mut b, 0.0);
+    }
+    assert_eq!(b.leave(0.25).err(), Some(0.75));
+    let try_it = b.leave(1.0).expect("a try");
+    assert!(b.leave(1.0).is_err(), "one at a time");
+    b.ended(1.1, try_it, Some(false));
+    assert_eq!(b.leave(1.1).err().map(|s| (s * 10.0).round()), Some(20.0), "twice as long");
+    let try_it = b.leave(3.2).expect("a try");
+    b.ended(3.2, try_it, None);
+    let try_it = b.leave(3.2).expect("nothing was learnt: another try");
+    b.ended(3.2, try_it, Some(true));
+    assert!(b.is_closed());
+    (0..3).for_each(|_| fail(&mut b, 4.0));
+    assert_eq!(b.leave(4.0).err(), Some(1.0), "the rest begins anew");
+}
+
+#[test]
+fn answers_to_questions_of_before_change_nothing() {
+    let mut b = breaker();
+    let old: Vec<_> = (0..2).map(|_| b.leave(0.0).expect("leave")).collect();
+    (0..3).for_each(|_| fail(&mut b, 0.0));
+    for leave in old {
+        b.ended(0.5, leave, Some(true));
+    }
+    assert!(b.leave(0.5).is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(512) })]
+
+    /// Whatever happens, an open breaker lets one question out at a time, and after the longest rest with
+    /// nothing out there is leave again: it never sticks.
+    #[test]
+    fn it_never_sticks(steps in prop::collection::vec((0u8..5, 0.0f64..3.0), 1..60)) {
+        let (mut b, mut now, mut out) = (breaker(), 0.0, Vec::new());
+        for (step, passed) in steps {
+            now += passed;
+            match step {
+                0 | 1 => {
+                    let closed = b.is_closed();
+                    if let Ok(leave) = b.leave(now) {
+                        out.push(leave);
+                        prop_assert!(closed || b.leave(now).is_err());
+                    }
+                }
+                2 | 3 if !out.is_empty() => b.ended(now, out.remove(0), Some(step == 3)),
+                4 if !out.is_empty() => b.ended(now, out.remove(0), None),
+                _ => {}
+            }
+        }
+        for leave in out.drain(..) {
+            b.ended(now, leave, Some(false));
+        }
+        prop_assert!(b.leave(now + 4.0).is_ok());
+    }
+}
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -237,6 +237,9 @@
     DiscoveryBroken,
     /// A client's request.
     Request(Request),
+    /// A question whether a client may call the servers by itself, until the request's `due`. It draws what
+    /// the request would draw and is answered at once, by [`Action::Permit`] or [`Action::Refuse`].
+    Permission(Request),
     /// A streamed answer has started.
     StreamStarted {
         /// The request.
@@ -259,7 +262,7 @@
         /// The server's report.
         report: LoadReport,
     },
-    /// The client left; no answer is owed.
+    /// The client left; no answer is owed. Of a permission: it never got it, and will not call.
     ClientGone {
         /// The request.
         id: RequestId,
@@ -303,6 +306,11 @@
         /// Give up after this time; 0: when the client does.
         timeout: f64,
     },
+    /// Final answer to a permission's question: the client may call.
+    Permit {
+        /// The question.
+        id: RequestId,
+    },
     /// Final answer: declined, safe to try again.
     Refuse {
         /// The request.
--- a/crates/decision/src/policy/life.rs
+++ b/crates/decision/src/policy/life.rs
@@ -2,7 +2,7 @@
 
 use super::fleet::{Fleet, Wanted};
 use super::quota::{Quota, PERIOD};
-use super::{fresh, View, T_DUE, T_PATIENCE};
+use super::{fresh, View, T_DUE, T_PATIENCE, T_PERMIT};
 use crate::interface::*;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -72,6 +72,8 @@
     means: Vec<f64>,
     retry_saved: f64,
     requests: BTreeMap<RequestId, Open>,
+    /// Customers whose permitted calls may still be out.
+    permits: BTreeMap<RequestId, Arc<str>>,
 }
 
 impl Life {
@@ -83,6 +85,7 @@
             means: set.classes.iter().map(|c| c.aim * FIRST_MEAN).collect(),
             retry_saved: RETRY.1,
             requests: BTreeMap::new(),
+            permits: BTreeMap::new(),
         }
     }
 
@@ -95,8 +98,9 @@
         self.requests.get(&id).is_some_and(|r| !r.done && !r.streaming)
     }
 
-    /// Sends a client's request on if its quota and the servers allow, else refuses it at once.
-    pub fn admit(&mut self, view: View, r: Request, out: &mut Vec<Action>) {
+    /// Sends a client's request on, or permits its call, if its quota and the servers allow; else refuses it
+    /// at once.
+    pub fn admit(&mut self, view: View, r: Request, permission: bool, out: &mut Vec<Action>) {
         let set = view.set;
         let class = set.classes.iter().position(|c| *c.name == *r.class);
         let plan = set.plans.iter().position(|p| *p.name == *r.plan);
@@ -123,11 +127,25 @@
         let Some(server) = server else { return self.refuse(view, r.id, 0.0, out) };
         self.quota.take(key, units);
         self.quota.tell(view, &mut self.rng, (key, units, true), out);
+        if permission {
+            // The call is the client's own and nobody tells of its end: until it is due, it counts as out.
+            self.quota.attempt_out(key);
+            self.permits.insert(r.id, key.clone());
+            out.push(Action::SetTimer { at: r.due, token: r.id * 4 + T_PERMIT });
+            return out.push(Action::Permit { id: r.id });
+        }
         self.requests.insert(r.id, open);
         out.push(Action::SetTimer { at: r.due - 2.0 * set.tick, token: r.id * 4 + T_DUE });
         self.send(view, r.id, server, out);
     }
 
+    /// A permitted call is over, or never was. Its units stay drawn: nobody can tell whether it was made.
+    pub fn permit_over(&mut self, view: View, id: RequestId) {
+        if let Some(key) = self.permits.remove(&id) {
+            self.quota.attempt_back(view, &key, 0.0);
+        }
+    }
+
     fn send(&mut self, View { set, now }: View, id: RequestId, server: ServerId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some((zone, cell)) = self.fleet.sent(View { set, now }, &server) else { return };
--- a/crates/decision/src/policy/mod.rs
+++ b/crates/decision/src/policy/mod.rs
@@ -18,6 +18,7 @@
 const T_TICK: u64 = 0;
 const T_DUE: u64 = 1;
 const T_PATIENCE: u64 = 2;
+const T_PERMIT: u64 = 3;
 
 fn fresh(mean: f64, sample: f64, gain: f64) -> f64 {
     mean + (sample - mean) * gain
@@ -76,12 +77,16 @@
             Event::ServerList(entries) => life.fleet.listed(view, &entries, true),
             Event::ServerChanges(entries) => life.fleet.listed(view, &entries, false),
             Event::DiscoveryBroken => self.lost_list = true,
-            Event::Request(r) => life.admit(view, r, out),
+            Event::Request(r) => life.admit(view, r, false, out),
+            Event::Permission(r) => life.admit(view, r, true, out),
             Event::StreamStarted { id } => life.streaming(id),
             Event::AttemptEnded { id, attempt, finished, outcome, took, units, .. } => {
                 life.ended(view, id, attempt, (finished, outcome, took, units.unwrap_or(0.0)), out);
             }
-            Event::ClientGone { id } => life.finish(view, id, out),
+            Event::ClientGone { id } => {
+                life.permit_over(view, id);
+                life.finish(view, id, out);
+            }
             Event::Counted { name, outcome, total, took } => {
                 life.quota.counted(view, &name, outcome, total, took);
             }
@@ -103,6 +108,7 @@
                     out.push(Action::Fail { id });
                     life.finish(view, id, out);
                 }
+                (T_PERMIT, id) => life.permit_over(view, id),
                 (_, id) => life.impatient(view, id, self.stalled, out),
             },
         }
--- a/crates/simulator/src/wire.rs
+++ b/crates/simulator/src/wire.rs
@@ -273,6 +273,8 @@
 pub fn write(out: &mut impl Write, instance: u32, action: &Action) -> io::Result<()> {
     match action {
         Action::Send { id, server, timeout } => writeln!(out, "ASSIGN {instance} {id} {timeout} {server}"),
+        // The simulator asks for no permissions, and its protocol has no word for them.
+        Action::Permit { .. } => Ok(()),
         Action::Refuse { id, retry_after } => writeln!(out, "SAY_NO {instance} {id} {retry_after}"),
         Action::Fail { id } => writeln!(out, "END_FAILED {instance} {id}"),
         Action::Cancel { id, attempt } => writeln!(out, "STOP_ATTEMPT {instance} {id} {attempt}"),
