--- a/crates/authz/src/check.rs
+++ b/crates/authz/src/check.rs
@@ -22,9 +22,9 @@
     pub body: String,
 }
 
-fn options<'a>(headers: impl IntoIterator<Item = (&'a str, String)>) -> Vec<HeaderValueOption> {
-    let option = |(key, value): (&str, String)| HeaderValueOption {
-        header: Some(HeaderValue { key: key.to_string(), value, raw_value: Vec::new() }),
+fn options(headers: Vec<(String, String)>) -> Vec<HeaderValueOption> {
+    let option = |(key, value)| HeaderValueOption {
+        header: Some(HeaderValue { key, value, raw_value: Vec::new() }),
         // Both ways of saying it, for readers that know one of them.
         append: Some(false),
         append_action: HeaderAppendAction::OverwriteIfExistsOrAdd.into(),
@@ -34,7 +34,7 @@
 }
 
 /// The call may be made, with these headers set on it.
-pub fn permitted<'a>(headers: impl IntoIterator<Item = (&'a str, String)>) -> CheckResponse {
+pub fn permitted(headers: Vec<(String, String)>) -> CheckResponse {
     let ok = OkHttpResponse { headers: options(headers), ..OkHttpResponse::default() };
     CheckResponse {
         status: Some(rpc::Status { code: Code::Ok as i32, message: String::new() }),
@@ -44,12 +44,11 @@
 
 /// The call may not be made, and its client is told so.
 pub fn denied(denial: Denial) -> CheckResponse {
-    let headers = denial.headers.iter().map(|(name, value)| (name.as_str(), value.clone()));
     CheckResponse {
         status: Some(rpc::Status { code: denial.code, message: denial.body.trim_end().to_string() }),
         http_response: Some(HttpResponse::DeniedResponse(DeniedHttpResponse {
             status: Some(HttpStatus { code: i32::from(denial.status) }),
-            headers: options(headers),
+            headers: options(denial.headers),
             body: denial.body,
         })),
     }
--- a/crates/authz/src/mapping.rs
+++ b/crates/authz/src/mapping.rs
@@ -22,6 +22,8 @@
     pub key: String,
     pub time_left: String,
     pub repeat: String,
+    /// Headers that an OK sets on the call, and where their values come from.
+    pub add: Vec<(String, String)>,
 }
 
 impl Default for Rules {
@@ -37,6 +39,7 @@
             key: "header:idempotency-key".into(),
             time_left: "header:x-time-left".into(),
             repeat: "header:x-repeat".into(),
+            add: Vec::new(),
         }
     }
 }
@@ -194,6 +197,8 @@
     /// None where the question does not say.
     pub time_left: Option<String>,
     pub repeat: bool,
+    /// Headers that an OK sets; those whose source the question lacks are left out.
+    pub add: Vec<(String, String)>,
 }
 
 /// A question lacks a part.
@@ -218,6 +223,7 @@
     key: Source,
     time_left: Source,
     repeat: Source,
+    add: Vec<(String, Source)>,
 }
 
 impl Mapping {
@@ -240,7 +246,16 @@
             }
             _ => Ok(()),
         };
+        let add = rules.add.iter().map(|(name, text)| {
+            if http::HeaderName::from_bytes(name.as_bytes()).is_err() {
+                let reason = format!("{name:?}, expected a header's name");
+                return Err(BadMapping { key: "add", reason });
+            }
+            Ok((name.to_ascii_lowercase(), read("add", text)?))
+        });
+        let add = add.collect::<Result<_, _>>()?;
         let mapping = Mapping {
+            add,
             class: read("class", &rules.class)?,
             customer: read("customer", &rules.customer)?,
             plan: read("plan", &rules.plan)?,
@@ -282,6 +297,7 @@
             key: find(&self.key),
             time_left: find(&self.time_left),
             repeat: find(&self.repeat).is_some_and(|text| text == "1"),
+            add: self.add.iter().filter_map(|(name, s)| Some((name.clone(), find(s)?))).collect(),
         })
     }
 }
--- a/crates/authz/tests/answers.rs
+++ b/crates/authz/tests/answers.rs
@@ -119,7 +119,7 @@
         body: "refused\n".into(),
     };
     assert_eq!(verdict(denied(denial.clone())), Ok(Verdict::Deny(denial)));
-    assert_eq!(after(permitted([("x-a", "1".to_string())]), &[("x-a", "0")]).0, ["x-a: 1"]);
+    assert_eq!(after(permitted(vec![("x-a".into(), "1".into())]), &[("x-a", "0")]).0, ["x-a: 1"]);
 }
 
 fn breaker() -> Breaker {
--- a/crates/daemon/src/fronts/head.rs
+++ b/crates/daemon/src/fronts/head.rs
@@ -3,24 +3,21 @@
 //! What is refused here reaches neither the module, whose totals go by customer, nor a server. It must stay
 //! cheap: nothing is kept or logged of it, since the same junk may come again at full speed.
 
+use super::fields;
 use crate::number::read_number;
 use crate::peers::servers::{CORRELATION_ID, IDEMPOTENCY_KEY, TIME_LEFT};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Method, StatusCode};
-use liftrouter_decision::{Class, Effect, Settings};
+use liftrouter_decision::{Effect, Settings};
 use std::time::Duration;
 
 const METERING: HeaderName = HeaderName::from_static("x-metering");
 const CONTRACT: HeaderName = HeaderName::from_static("x-contract");
 pub const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
 
-/// The longest id of a request or key: ids are kept while requests are open, and go on to servers.
-const MAX_ID: usize = 128;
 /// The most headers that hyper reads of a request.
 const MAX_HEADERS: usize = 100;
-/// Numbers of customers are below this.
-const CUSTOMERS: u64 = 1 << 33;
 
 /// A request that is answered before the module hears of it, and why.
 pub struct Rejected(pub StatusCode, pub &'static str);
@@ -53,20 +50,18 @@
     if headers.contains_key(TRANSFER_ENCODING) && !only_chunked(raw) {
         return Err(bad("Transfer-Encoding beside Content-Length\n"));
     }
-    let number = Some(customer).filter(|c| c.len() == 16 && c.bytes().all(|b| b.is_ascii_hexdigit()));
-    let number = number.and_then(|c| u64::from_str_radix(c, 16).ok()).filter(|n| *n < CUSTOMERS);
-    let number = number.ok_or(bad("the customer is malformed\n"))?;
+    let customer = fields::customer(customer).ok_or(bad("the customer is malformed\n"))?;
     let text = |name: HeaderName| {
         let mut values = headers.get_all(name).iter();
         // Given twice, a header may be read one way here and another way at a server.
         let value = values.next().filter(|v| !v.is_empty()).and_then(|v| v.to_str().ok());
         value.filter(|_| values.next().is_none())
     };
-    let id = |name| text(name).filter(|id| id.len() <= MAX_ID);
+    let id = |name| text(name).filter(|id| id.len() <= fields::MAX_ID);
     let correlation_id = id(CORRELATION_ID).ok_or(bad("X-Correlation-Id is missing or malformed\n"))?;
     let plan = text(CONTRACT).filter(|name| settings.plans.iter().any(|p| p.name == *name));
     let plan = plan.ok_or(bad("X-Contract is missing or unknown\n"))?;
-    let time_left = text(TIME_LEFT).and_then(|text| read_time_left(text, class));
+    let time_left = text(TIME_LEFT).and_then(|text| fields::time_left(text, class));
     let time_left = time_left.ok_or(bad("X-Time-Left is missing or malformed\n"))?;
     let metering = text(METERING).and_then(|text| read_metering(settings, text));
     let (units, width) = metering.ok_or(bad("X-Metering is missing or malformed\n"))?;
@@ -82,7 +77,7 @@
     }
     Ok(Checked {
         class: class.name.clone(),
-        customer: format!("{number:016x}"),
+        customer,
         plan: plan.to_string(),
         correlation_id: HeaderValue::from_str(correlation_id).map_err(|_| bad("malformed\n"))?,
         time_left,
@@ -101,17 +96,6 @@
         && head.headers.iter().all(|h| !h.name.eq_ignore_ascii_case(CONTENT_LENGTH.as_str()))
 }
 
-/// A number and a unit: `480m` milliseconds or `1500u` microseconds. No client waits longer than its class.
-fn read_time_left(text: &str, class: &Class) -> Option<Duration> {
-    let (scale, number) = match (text.strip_suffix('m'), text.strip_suffix('u')) {
-        (Some(number), _) => (1e-3, number),
-        (_, Some(number)) => (1e-6, number),
-        _ => return None,
-    };
-    let most = if class.deadline > 0.0 { class.deadline } else { f64::MAX };
-    Duration::try_from_secs_f64((read_number(number)? * scale).min(most)).ok()
-}
-
 /// `units=2,spread=3,first=1`: the units, and the number of limiters in the customer's set.
 fn read_metering(settings: &Settings, text: &str) -> Option<(f64, u32)> {
     let (mut units, mut spread, mut first) = (None, None, None);
@@ -129,9 +113,6 @@
         }
     }
     let peers = settings.peers.max(1);
-    let most = if settings.max_units > 0.0 { settings.max_units } else { f64::MAX };
-    let whole = |n: &f64| n.fract() == 0.0;
-    first.filter(|first| whole(first) && *first < f64::from(peers))?;
-    let spread = spread.filter(|s| whole(s) && (1.0..=f64::from(peers)).contains(s))?;
-    Some((units.filter(|u| *u > 0.0 && *u <= most)?, spread as u32))
+    first.filter(|first| first.fract() == 0.0 && *first < f64::from(peers))?;
+    Some((fields::units(units?, settings)?, fields::width(spread?, settings)?))
 }
--- a/crates/daemon/src/fronts/http.rs
+++ b/crates/daemon/src/fronts/http.rs
@@ -2,8 +2,9 @@
 //!
 //! What is malformed is answered here and reaches neither the module nor a server.
 
+use super::gate::Gate;
 use super::head::{check, Rejected, REPEAT};
-use crate::inbox::{Answer, Arrival, Forward, Inbox, News};
+use crate::inbox::{Answer, Arrival, Call, Forward};
 use crate::log;
 use crate::peers::link::{Socket, Tracked, MAX_BODY};
 use crate::peers::servers::IDEMPOTENCY_KEY;
@@ -15,9 +16,8 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use liftrouter_decision::{RequestId, Settings};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -45,22 +45,14 @@
 /// connects because it has one to send.
 const NEVER_ASKED: Duration = Duration::from_millis(30);
 const MAX_HEAD: usize = 16 * 1024;
-/// The most requests in work at once, whatever the settings say.
-const MOST_OPEN: usize = 1_000;
 /// Pause before accepting is tried again: after a failure, which most likely means that descriptors ran out,
 /// and where all connections that may be open are busy.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 pub struct Clients {
-    inbox: Rc<Inbox>,
-    settings: Settings,
+    gate: Rc<Gate>,
     /// The most connections; the one that is idle longest gives way to a new one.
     budget: usize,
-    /// Bytes that requests' bodies may take in all, and take now.
-    body_budget: usize,
-    bodies: Cell<usize>,
-    /// Ids of the requests that are open.
-    open_ids: RefCell<HashSet<HeaderValue>>,
     ready: Cell<bool>,
     draining: Cell<bool>,
     connections: RefCell<BTreeMap<u64, Rc<Connection>>>,
@@ -97,14 +89,10 @@
 type Reply = Response<Full<Bytes>>;
 
 impl Clients {
-    pub fn new(inbox: Rc<Inbox>, settings: Settings, budget: usize, body_budget: usize) -> Rc<Self> {
+    pub fn new(gate: Rc<Gate>, budget: usize) -> Rc<Self> {
         Rc::new(Clients {
-            inbox,
-            settings,
+            gate,
             budget,
-            body_budget,
-            bodies: Cell::new(0),
-            open_ids: RefCell::default(),
             ready: Cell::new(false),
             draining: Cell::new(false),
             connections: RefCell::default(),
@@ -271,7 +259,8 @@
             });
         }
         let (head, body) = request.into_parts();
-        let checked = check(&self.settings, (&head.method, head.uri.path(), &head.headers), &body, &raw)?;
+        let checked =
+            check(&self.gate.settings, (&head.method, head.uri.path(), &head.headers), &body, &raw)?;
         drop(raw);
         let size = body.size_hint();
         if size.lower() > MAX_BODY as u64 {
@@ -279,8 +268,8 @@
         }
         // Held until the answer is out: bodies of all requests together stay within the memory limit.
         let size = size.exact().map_or(MAX_BODY, |size| size as usize);
-        let _held = Held::new(&self.bodies, size, self.body_budget)
-            .ok_or(Rejected(StatusCode::SERVICE_UNAVAILABLE, "too much is open\n"))?;
+        let _held =
+            self.gate.hold(size).ok_or(Rejected(StatusCode::SERVICE_UNAVAILABLE, "too much is open\n"))?;
         let until = first.map_or_else(|| Instant::now() + BODY_TIME, |came| came + HEAD_TIME);
         let body = match timeout_at(until, Limited::new(body, MAX_BODY).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
@@ -290,21 +279,16 @@
             Ok(Err(_)) => return Err(Rejected(StatusCode::BAD_REQUEST, "the body cannot be read\n")),
             Err(_) => return Err(Rejected(StatusCode::REQUEST_TIMEOUT, "the body came too slowly\n")),
         };
-        let most = MOST_OPEN.min(if self.settings.max_open > 0 {
-            self.settings.max_open as usize
-        } else {
-            MOST_OPEN
-        });
-        if self.inbox.open_requests() >= most {
+        if self.gate.is_full() {
             return Err(Rejected(StatusCode::SERVICE_UNAVAILABLE, "too many requests are open\n"));
         }
         // The last byte has come: from here on the request is taken and owed one answer.
         let due = Instant::now() + checked.time_left.saturating_sub(MARGIN);
         let target =
             head.uri.path_and_query().cloned().ok_or(Rejected(StatusCode::NOT_FOUND, "no path\n"))?;
-        // Ids are new with every request. One that is open already is a copy: passed on, it would be a second
-        // attempt of the same request at once.
-        let _open = OpenId::new(&self.open_ids, &checked.correlation_id)
+        let _open = self
+            .gate
+            .open(&checked.correlation_id)
             .ok_or(Rejected(StatusCode::CONFLICT, "a request with this id is open\n"))?;
         let header = |name: HeaderName| head.headers.get(name).cloned();
         let arrival = Arrival {
@@ -314,7 +298,7 @@
             units: checked.units,
             width: checked.width,
             repeat: header(REPEAT).is_some_and(|v| v == "1"),
-            forward: Forward {
+            call: Call::Forward(Rc::new(Forward {
                 method: head.method,
                 target,
                 correlation_id: checked.correlation_id,
@@ -322,15 +306,10 @@
                 content_type: header(CONTENT_TYPE),
                 body,
                 due,
-            },
+            })),
         };
-        let (id, answer) = self.inbox.ask(arrival);
-        // Dropped before the answer has come, this future belongs to a client that left.
-        let gone = Gone { inbox: &self.inbox, id: Some(id) };
-        let answer = answer.await;
-        gone.answered();
-        Ok(match answer {
-            Ok(Answer::Served(answer)) => {
+        Ok(match self.gate.ask(arrival).await {
+            Answer::Served(answer) => {
                 let (head, body) = answer.into_parts();
                 let mut reply = Response::new(Full::new(body));
                 if let Some(kind) = head.headers.get(CONTENT_TYPE) {
@@ -338,7 +317,7 @@
                 }
                 reply
             }
-            Ok(Answer::Refused(stay_away)) => {
+            Answer::Refused(stay_away) => {
                 let mut reply = plain(StatusCode::TOO_MANY_REQUESTS, "refused: trying again is harmless\n");
                 if stay_away > 0.0 {
                     if let Ok(advice) = HeaderValue::try_from(format!("{stay_away:.3}")) {
@@ -347,7 +326,8 @@
                 }
                 reply
             }
-            Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+            // A request that is forwarded is never permitted.
+            Answer::Failed | Answer::Permitted => plain(StatusCode::BAD_GATEWAY, "failed\n"),
         })
     }
 }
@@ -374,56 +354,3 @@
         self.0.since.set(Instant::now());
     }
 }
-
-/// The id of a request while it is open.
-struct OpenId<'a>(&'a RefCell<HashSet<HeaderValue>>, HeaderValue);
-
-impl<'a> OpenId<'a> {
-    /// None where it is open already.
-    fn new(ids: &'a RefCell<HashSet<HeaderValue>>, id: &HeaderValue) -> Option<Self> {
-        ids.borrow_mut().insert(id.clone()).then(|| OpenId(ids, id.clone()))
-    }
-}
-
-impl Drop for OpenId<'_> {
-    fn drop(&mut self) {
-        self.0.borrow_mut().remove(&self.1);
-    }
-}
-
-/// Bytes of a body, taken from the budget of all.
-struct Held<'a>(&'a Cell<usize>, usize);
-
-impl<'a> Held<'a> {
-    fn new(bodies: &'a Cell<usize>, size: usize, budget: usize) -> Option<Self> {
-        let all = Some(bodies.get() + size).filter(|all| *all <= budget)?;
-        bodies.set(all);
-        Some(Held(bodies, size))
-    }
-}
-
-impl Drop for Held<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - self.1);
-    }
-}
-
-/// Reports that a client left, unless its request has been answered.
-struct Gone<'a> {
-    inbox: &'a Inbox,
-    id: Option<RequestId>,
-}
-
-impl Gone<'_> {
-    fn answered(mut self) {
-        self.id = None;
-    }
-}
-
-impl Drop for Gone<'_> {
-    fn drop(&mut self) {
-        if let Some(id) = self.id {
-            self.inbox.push(News::ClientGone(id));
-        }
-    }
-}
--- a/crates/daemon/src/fronts/mod.rs
+++ b/crates/daemon/src/fronts/mod.rs
@@ -1,4 +1,7 @@
 //! Fronts: where clients ask. A front reads and checks, asks through the inbox, and writes the one answer.
 
+pub mod fields;
+pub mod gate;
+pub mod grpc;
 pub mod head;
 pub mod http;
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -6,7 +6,7 @@
 
 mod clock;
 
-use crate::inbox::{Answer, Arrival, Ended, Forward, Inbox, Listed, News};
+use crate::inbox::{Answer, Arrival, Call, Ended, Forward, Inbox, Listed, News};
 use crate::membership::discovery::Discovery;
 use crate::peers::keeper::Keeper;
 use crate::peers::servers::{Attempt, Place, Servers};
@@ -39,7 +39,8 @@
 
 /// A request in the table: until it is answered and none of its attempts is out.
 struct Open {
-    forward: Rc<Forward>,
+    /// None for a permission.
+    forward: Option<Rc<Forward>>,
     reply: Option<oneshot::Sender<Answer>>,
     attempts: u32,
     /// The attempt that is out, with its number; there is one at most.
@@ -104,7 +105,9 @@
         match news {
             News::Asked(id, arrival, reply) => self.asked(id, arrival, reply),
             News::ClientGone(id) => {
-                if self.requests.get_mut(&id).is_some_and(|open| open.reply.take().is_some()) {
+                // A permission is answered and forgotten at once; what its client never got of it the module
+                // still has to hear of.
+                if self.requests.get_mut(&id).is_none_or(|open| open.reply.take().is_some()) {
                     self.feed(Event::ClientGone { id });
                     self.forget(id);
                 }
@@ -126,10 +129,16 @@
     }
 
     fn asked(&mut self, id: RequestId, arrival: Arrival, reply: oneshot::Sender<Answer>) {
-        let due = self.clock.seconds(arrival.forward.due);
-        let open = Open { forward: Rc::new(arrival.forward), reply: Some(reply), attempts: 0, running: None };
-        self.requests.insert(id, open);
-        self.feed(Event::Request(Request {
+        let (forward, due) = match arrival.call {
+            Call::Forward(forward) => {
+                let due = forward.due;
+                (Some(forward), due)
+            }
+            Call::Permission { due } => (None, due),
+        };
+        let permission = forward.is_none();
+        self.requests.insert(id, Open { forward, reply: Some(reply), attempts: 0, running: None });
+        let request = Request {
             id,
             customer: arrival.customer.into(),
             plan: arrival.plan.into(),
@@ -137,8 +146,9 @@
             units: arrival.units,
             width: arrival.width,
             repeat: arrival.repeat,
-            due,
-        }));
+            due: self.clock.seconds(due),
+        };
+        self.feed(if permission { Event::Permission(request) } else { Event::Request(request) });
     }
 
     fn attempt_ended(&mut self, id: RequestId, n: u32, ended: Ended) {
@@ -230,6 +240,7 @@
     fn carry_out(&mut self, action: Action) {
         match action {
             Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Permit { id } => self.answer(id, Answer::Permitted),
             Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused(retry_after)),
             Action::Fail { id } => self.answer(id, Answer::Failed),
             Action::Cancel { id, attempt } => {
@@ -254,9 +265,12 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let n = open.attempts;
         open.attempts += 1;
-        // Guards the rules even against the module: nothing for a request that is answered, never two
-        // attempts at once, and no more than the class permits.
-        if open.reply.is_none() || open.running.is_some() || n >= self.max_attempts || timeout < 0.0 {
+        // Guards the rules even against the module: nothing for a request that is answered or that its client
+        // sends, never two attempts at once, and no more than the class permits.
+        let forward = open.forward.clone().filter(|_| {
+            open.reply.is_some() && open.running.is_none() && n < self.max_attempts && timeout >= 0.0
+        });
+        let Some(forward) = forward else {
             return self.queue.push_back(Event::AttemptEnded {
                 id,
                 attempt: n,
@@ -266,8 +280,8 @@
                 units: None,
                 report: LoadReport::default(),
             });
-        }
-        let (began, due) = (Instant::now(), open.forward.due);
+        };
+        let (began, due) = (Instant::now(), forward.due);
         let limit =
             if timeout > 0.0 { began + Duration::from_secs_f64(timeout.min(1e6)) } else { due }.min(due);
         // Address and version are those that the choice was made by: a later list must not mix in.
@@ -277,7 +291,7 @@
             self.inbox.clone(),
             (id, n),
             server.clone(),
-            (open.forward.clone(), attempt.clone()),
+            (forward, attempt.clone()),
             limit,
         ));
         open.running = Some((n, Running { server, began, attempt, task }));
--- a/crates/daemon/src/inbox.rs
+++ b/crates/daemon/src/inbox.rs
@@ -24,6 +24,19 @@
     Refused(f64),
     /// No promise of its effect.
     Failed,
+    /// The client may make its call itself.
+    Permitted,
+}
+
+/// What becomes of a request that is granted.
+pub enum Call {
+    /// It goes on to a server.
+    Forward(Rc<Forward>),
+    /// Its client makes it, and counts as having it out until then at most.
+    Permission {
+        /// When the call is over at the latest.
+        due: Instant,
+    },
 }
 
 /// A client's request as the module needs it, and what goes on to a server.
@@ -34,7 +47,7 @@
     pub units: f64,
     pub width: u32,
     pub repeat: bool,
-    pub forward: Forward,
+    pub call: Call,
 }
 
 /// The part of a client's request that goes on unchanged.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -13,6 +13,8 @@
 mod peers;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use fronts::gate::Gate;
+use fronts::grpc::{self, Grpc};
 use fronts::http::Clients;
 use host::{Host, Peers};
 use inbox::Inbox;
@@ -244,10 +246,21 @@
     let hangup = handle(SignalKind::hangup(), "SIGHUP")?;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let bound = listener.local_addr().map_err(|e| e.to_string())?;
+    let grpc_listener = match &operator.grpc {
+        None => None,
+        Some(grpc) => {
+            let (limits, mapping) = (grpc.limits.clone(), grpc.mapping(&settings)?);
+            let listener = TcpListener::bind(limits.listen).await;
+            let listener =
+                listener.map_err(|e| format!("cannot listen on {} for gRPC: {e}", limits.listen))?;
+            Some((listener, limits, mapping))
+        }
+    };
 
     // Each request may hold two sockets, one to its client and one to a server.
     let sockets = config.limits.sockets.unwrap_or(SOCKETS_DEFAULT);
-    let budget = sockets.saturating_sub(RESERVE + keeper::CALLS).max(2);
+    let grpc_sockets = grpc_listener.as_ref().map_or(0, |(_, limits, _)| limits.connections + 1);
+    let budget = sockets.saturating_sub(RESERVE + keeper::CALLS + grpc_sockets).max(2);
     let longest = settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
     // The seed is 16 hex digits; any other text is as good a seed, and none is one too.
     let seed = u64::from_str_radix(&config.seed, 16)
@@ -260,7 +273,8 @@
     let host = Host::new(settings.clone(), seed, inbox.clone(), peers);
     let memory = config.limits.memory_mb.filter(|mb| *mb > 0.0).unwrap_or(MEMORY_MB_DEFAULT);
     let bodies = (memory * BODY_SHARE * 1024.0 * 1024.0) as usize;
-    let clients = Clients::new(inbox.clone(), settings, budget - budget / 2, bodies);
+    let gate = Gate::new(inbox.clone(), settings, bodies);
+    let clients = Clients::new(gate.clone(), budget - budget / 2);
 
     spawn_local(host.run());
     spawn_local(async move { servers.sweep().await });
@@ -283,9 +297,21 @@
         let clients = clients.clone();
         async move { clients.accept(listener).await }
     });
+    let mut grpc = None;
+    if let Some((listener, limits, mapping)) = grpc_listener {
+        let front = Grpc::new(gate.clone(), limits, mapping, grpc::instance_name());
+        if let Ok(address) = listener.local_addr() {
+            log("liftrouter", format_args!("gRPC on {address}"));
+        }
+        let accepting = spawn_local({
+            let front = front.clone();
+            async move { front.accept(listener).await }
+        });
+        grpc = Some((front, accepting));
+    }
     log("liftrouter", format_args!("listening on {bound}"));
     spawn_local({
-        let clients = clients.clone();
+        let (clients, grpc) = (clients.clone(), grpc.as_ref().map(|(front, _)| front.clone()));
         async move {
             if from_file {
                 adopted.notified().await;
@@ -294,17 +320,32 @@
                 let _ = timeout(FIRST_NEWS, list.heard()).await;
             }
             clients.set_ready();
+            if let Some(front) = grpc {
+                front.set_ready();
+            }
         }
     });
 
     terminated.recv().await;
     log("liftrouter", format_args!("SIGTERM: finishing {} requests", inbox.open_requests()));
     clients.drain();
+    if let Some((front, _)) = &grpc {
+        front.drain();
+    }
     tokio::time::sleep(ACCEPT_ON).await;
     let rest = Duration::from_secs_f64(longest.clamp(0.0, 60.0)) + FINISH;
     // Connections that are left then carry no request, or one that has not come whole.
-    let _ = timeout(rest, clients.all_closed()).await;
+    let all_closed = async {
+        clients.all_closed().await;
+        if let Some((front, _)) = &grpc {
+            front.all_closed().await;
+        }
+    };
+    let _ = timeout(rest, all_closed).await;
     accepting.abort();
+    if let Some((_, accepting)) = &grpc {
+        accepting.abort();
+    }
     match inbox.open_requests() {
         0 => Ok(()),
         left => Err(format!("{left} requests were left open")),
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,9 +1,13 @@
 //! The operator's own file: what the platform does not tell. TOML, checked whole at the start; without it the
 //! limiter is as the platform wants it.
 
+use crate::fronts::grpc::Limits;
 use crate::membership::file::Source;
+use liftrouter_authz::{FrameLimits, Mapping, Rules};
+use liftrouter_decision::Settings;
 use liftrouter_inventory::{Form, Policy};
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use toml::Spanned;
@@ -12,6 +16,7 @@
 #[serde(deny_unknown_fields)]
 struct File {
     inventory: Option<Spanned<Inventory>>,
+    grpc: Option<GrpcFile>,
 }
 
 /// `[inventory]`: the nodes come from this file, and discovery is not asked.
@@ -25,11 +30,57 @@
     poll_ms: Option<Spanned<u64>>,
 }
 
+/// `[grpc]`: external authorisation is answered here.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GrpcFile {
+    listen: Spanned<String>,
+    streams: Option<Spanned<u64>>,
+    connections: Option<Spanned<u64>>,
+    message_kb: Option<Spanned<u64>>,
+    header_list_kb: Option<Spanned<u64>>,
+    idle_s: Option<Spanned<u64>>,
+    age_s: Option<Spanned<u64>>,
+    resets_per_s: Option<Spanned<u64>>,
+    control_per_s: Option<Spanned<u64>>,
+    hold_ms: Option<Spanned<u64>>,
+    #[serde(default)]
+    mapping: BTreeMap<Spanned<String>, Spanned<String>>,
+    #[serde(default)]
+    add: BTreeMap<String, Spanned<String>>,
+}
+
 /// What the operator has chosen.
 #[derive(Default)]
 pub struct Operator {
     /// The inventory file, in place of discovery.
     pub inventory: Option<Source>,
+    /// The gRPC front.
+    pub grpc: Option<Grpc>,
+}
+
+/// The gRPC front; its mapping is still to be checked against classes and plans.
+pub struct Grpc {
+    pub limits: Limits,
+    rules: Rules,
+    /// Where each rule stands, by its key.
+    places: BTreeMap<String, String>,
+    name: String,
+}
+
+impl Grpc {
+    /// The mapping, where it fits the settings.
+    ///
+    /// # Errors
+    /// `file:line:column`, what was found and what was expected.
+    pub fn mapping(&self, settings: &Settings) -> Result<Mapping, String> {
+        let classes: Vec<&str> = settings.classes.iter().map(|c| c.name.as_str()).collect();
+        let plans: Vec<&str> = settings.plans.iter().map(|p| p.name.as_str()).collect();
+        Mapping::new(&self.rules, &classes, &plans).map_err(|fault| {
+            let place = self.places.get(fault.key).unwrap_or(&self.name);
+            format!("{place}: {fault}")
+        })
+    }
 }
 
 const POLL_MS: u64 = 50;
@@ -45,31 +96,69 @@
 }
 
 fn parse(name: &str, text: &str) -> Result<Operator, String> {
-    let fault = |at: usize, what: String| {
-        let before = text.get(..at).unwrap_or(text);
+    let place = Place { name, text };
+    let file: File = toml::from_str(text)
+        .map_err(|e| place.fault(e.span().map_or(0, |s| s.start), e.message().to_string()))?;
+    Ok(Operator {
+        inventory: file.inventory.map(|i| inventory(&place, i)).transpose()?,
+        grpc: file.grpc.map(|g| grpc(&place, g)).transpose()?,
+    })
+}
+
+/// The file, for the places of its faults.
+struct Place<'a> {
+    name: &'a str,
+    text: &'a str,
+}
+
+impl Place<'_> {
+    /// `file:line:column` of a byte.
+    fn at(&self, at: usize) -> String {
+        let before = self.text.get(..at).unwrap_or(self.text);
         let line = before.matches('\n').count() + 1;
         let column = before.rsplit('\n').next().unwrap_or("").chars().count() + 1;
-        format!("{name}:{line}:{column}: {what}")
-    };
-    let file: File =
-        toml::from_str(text).map_err(|e| fault(e.span().map_or(0, |s| s.start), e.message().to_string()))?;
-    let Some(inventory) = file.inventory else { return Ok(Operator::default()) };
+        format!("{}:{line}:{column}", self.name)
+    }
+
+    fn fault(&self, at: usize, what: String) -> String {
+        format!("{}: {what}", self.at(at))
+    }
+
+    /// A whole number within its range, or the default.
+    fn number(
+        &self,
+        value: Option<Spanned<u64>>,
+        (key, unit): (&str, &str),
+        range: std::ops::RangeInclusive<u64>,
+        default: u64,
+    ) -> Result<u64, String> {
+        match value {
+            Some(v) if !range.contains(v.get_ref()) => {
+                let (found, least, most) = (v.get_ref(), range.start(), range.end());
+                Err(self
+                    .fault(v.span().start, format!("{key} is {found}, expected {least} to {most} {unit}")))
+            }
+            Some(v) => Ok(v.into_inner()),
+            None => Ok(default),
+        }
+    }
+}
+
+fn inventory(place: &Place, inventory: Spanned<Inventory>) -> Result<Source, String> {
     let (at, i) = (inventory.span().start, inventory.into_inner());
     let (path, form) = match (i.csv, i.yaml) {
         (Some(path), None) => (path, Form::Csv),
         (None, Some(path)) => (path, Form::Yaml),
         (Some(_), Some(_)) => {
-            return Err(fault(at, "inventory names csv and yaml, expected one: they could disagree".into()));
+            let what = "inventory names csv and yaml, expected one: they could disagree";
+            return Err(place.fault(at, what.into()));
         }
-        (None, None) => return Err(fault(at, "inventory names no file, expected csv or yaml".into())),
-    };
-    let ms = |value: Option<Spanned<u64>>, key: &str, default: u64, least: u64| match value {
-        Some(v) if !(least..=10_000).contains(v.get_ref()) => {
-            let found = v.get_ref();
-            Err(fault(v.span().start, format!("{key} is {found}, expected {least} to 10000 milliseconds")))
+        (None, None) => {
+            return Err(place.fault(at, "inventory names no file, expected csv or yaml".into()));
         }
-        Some(v) => Ok(Duration::from_millis(v.into_inner())),
-        None => Ok(Duration::from_millis(default)),
+    };
+    let ms = |value, key, default: u64, least: u64| {
+        place.number(value, (key, "milliseconds"), least..=10_000, default).map(Duration::from_millis)
     };
     let default = Policy::default();
     let quiet = ms(i.quiet_ms, "quiet_ms", default.quiet.as_millis() as u64, 1)?;
@@ -77,16 +166,72 @@
     let most_removed = match i.most_removed {
         Some(v) if !(0.0..=1.0).contains(v.get_ref()) => {
             let found = v.get_ref();
-            return Err(fault(
-                v.span().start,
-                format!("most_removed is {found}, expected a share from 0 to 1"),
-            ));
+            let what = format!("most_removed is {found}, expected a share from 0 to 1");
+            return Err(place.fault(v.span().start, what));
         }
         Some(v) => v.into_inner(),
         None => default.most_removed,
     };
-    let policy = Policy { quiet, most_removed };
-    Ok(Operator { inventory: Some(Source { path, form, policy, poll }) })
+    Ok(Source { path, form, policy: Policy { quiet, most_removed }, poll })
+}
+
+fn grpc(place: &Place, g: GrpcFile) -> Result<Grpc, String> {
+    let listen = g.listen.get_ref().parse().map_err(|_| {
+        let what = format!("listen is {:?}, expected an address and a port", g.listen.get_ref());
+        place.fault(g.listen.span().start, what)
+    })?;
+    let kilobytes = |n: u64| n as usize * 1_024;
+    let limits = Limits {
+        listen,
+        streams: place.number(g.streams, ("streams", "streams"), 1..=10_000, 100)? as u32,
+        connections: place.number(g.connections, ("connections", "connections"), 1..=10_000, 32)? as usize,
+        message: kilobytes(place.number(g.message_kb, ("message_kb", "kilobytes"), 1..=1_024, 64)?),
+        header_list: kilobytes(place.number(g.header_list_kb, ("header_list_kb", "kilobytes"), 1..=64, 16)?)
+            as u32,
+        idle: Duration::from_secs(place.number(g.idle_s, ("idle_s", "seconds"), 1..=86_400, 60)?),
+        age: Duration::from_secs(place.number(g.age_s, ("age_s", "seconds"), 1..=86_400, 600)?),
+        frames: FrameLimits {
+            resets: place.number(g.resets_per_s, ("resets_per_s", "a second"), 1..=1_000_000, 100)? as f64,
+            control: place.number(g.control_per_s, ("control_per_s", "a second"), 10..=1_000_000, 500)?
+                as f64,
+        },
+        hold: match g.hold_ms {
+            None => None,
+            some => {
+                let ms = place.number(some, ("hold_ms", "milliseconds"), 1..=600_000, 0)?;
+                Some(Duration::from_millis(ms))
+            }
+        },
+    };
+    let mut rules = Rules::default();
+    let mut places = BTreeMap::new();
+    for (key, rule) in g.mapping {
+        places.insert(key.get_ref().clone(), place.at(rule.span().start));
+        let slot = match key.get_ref().as_str() {
+            "class" => &mut rules.class,
+            "customer" => &mut rules.customer,
+            "plan" => &mut rules.plan,
+            "units" => &mut rules.units,
+            "width" => &mut rules.width,
+            "id" => &mut rules.id,
+            "key" => &mut rules.key,
+            "time_left" => &mut rules.time_left,
+            "repeat" => &mut rules.repeat,
+            found => {
+                let what = format!(
+                    "mapping has {found:?}, expected class, customer, plan, units, width, id, key, time_left \
+                     or repeat"
+                );
+                return Err(place.fault(key.span().start, what));
+            }
+        };
+        *slot = rule.into_inner();
+    }
+    for (header, rule) in g.add {
+        places.insert("add".into(), place.at(rule.span().start));
+        rules.add.push((header, rule.into_inner()));
+    }
+    Ok(Grpc { limits, rules, places, name: place.name.to_string() })
 }
 
 #[cfg(test)]
@@ -103,6 +248,19 @@
         let sample = include_str!("../../../deploy/sample-operator.toml");
         let source = parse("o.toml", sample).expect("good").inventory.expect("a file");
         assert_eq!((source.form, source.poll), (Form::Csv, Duration::from_millis(50)));
+        let grpc = parse("o.toml", sample).expect("good").grpc.expect("a front");
+        assert_eq!((grpc.limits.listen.port(), grpc.limits.streams), (9001, 100));
+    }
+
+    #[test]
+    fn a_rule_that_does_not_fit_the_settings_names_its_place() {
+        let text = "[grpc]\nlisten = '127.0.0.1:0'\n[grpc.mapping]\nclass = 'value:qoute'\n";
+        let grpc = parse("o.toml", text).expect("good").grpc.expect("a front");
+        let settings: Settings =
+            serde_json::from_str(r#"{"classes": [{"name": "quote"}], "tariffs": [{"name": "roomy"}]}"#)
+                .expect("settings");
+        let found = grpc.mapping(&settings).err().unwrap_or_default();
+        assert_eq!(found, "o.toml:4:9: class is \"value:qoute\", expected one of quote");
     }
 
     #[test]
@@ -115,6 +273,20 @@
                 "[inventory]\ncsv = 'a'\nmost_removed = 2.0\n",
                 "o.toml:3:16: most_removed is 2, expected a share",
             ),
+            ("[grpc]\n", "missing field `listen`"),
+            ("[grpc]\nlisten = 'x'\n", "o.toml:2:10: listen is \"x\", expected an address and a port"),
+            (
+                "[grpc]\nlisten = '[::1]:1'\nstreams = 0\n",
+                "o.toml:3:11: streams is 0, expected 1 to 10000 streams",
+            ),
+            (
+                "[grpc]\nlisten = '[::1]:1'\nhold_ms = 0\n",
+                "o.toml:3:11: hold_ms is 0, expected 1 to 600000 milliseconds",
+            ),
+            (
+                "[grpc]\nlisten = '[::1]:1'\n[grpc.mapping]\nklass = 'id'\n",
+                "o.toml:4:1: mapping has \"klass\", expected class,",
+            ),
             ("[inventry]\n", "o.toml:1:2: unknown field `inventry`"),
             ("[inventory]\ncsv = \n", "o.toml:2:7"),
         ] {
--- /dev/null
+++ b/crates/daemon/tests/common/grpc.rs
@@ -0,0 +1,326 @@
+//! gRPC from outside: calls by a library, and frames written by hand.
+
+use super::PATIENCE;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http2::{handshake, SendRequest};
+use hyper::{HeaderMap, Request};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use liftrouter_authz::messages::envoy::service::auth::v3::attribute_context::{
+    HttpRequest, Request as Asked,
+};
+use liftrouter_authz::messages::envoy::service::auth::v3::check_response::HttpResponse;
+use liftrouter_authz::messages::envoy::service::auth::v3::{
+    AttributeContext, CheckRequest, CheckResponse, DeniedHttpResponse, OkHttpResponse,
+};
+use liftrouter_authz::{frame, Message, Unary};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
+use tokio::runtime::Runtime;
+
+pub const CHECK: &str = "/envoy.service.auth.v3.Authorization/Check";
+pub const HEALTH: &str = "/grpc.health.v1.Health/Check";
+pub const WATCH: &str = "/grpc.health.v1.Health/Watch";
+pub const REFLECTION: &str = "/grpc.reflection.v1.ServerReflection/ServerReflectionInfo";
+
+static NEXT_ID: AtomicU32 = AtomicU32::new(1);
+
+pub fn new_id() -> String {
+    format!("g{:015x}", NEXT_ID.fetch_add(1, Ordering::SeqCst))
+}
+
+/// A question for one customer, as the default mapping reads it.
+pub fn question(class: &str, plan: &str, units: u32) -> CheckRequest {
+    let id = new_id();
+    let metering = format!("units={units},spread=1,first=0");
+    with_headers(
+        &format!("/{class}/00000000b4d65521?from=tls"),
+        &[
+            ("x-contract", plan),
+            ("x-metering", &metering),
+            ("x-correlation-id", &id),
+            ("x-time-left", "1500m"),
+            ("idempotency-key", &id),
+        ],
+    )
+}
+
+pub fn with_headers(path: &str, headers: &[(&str, &str)]) -> CheckRequest {
+    let headers = headers.iter().map(|(n, v)| ((*n).to_string(), (*v).to_string())).collect();
+    let http = HttpRequest { method: "GET".into(), path: path.into(), headers, ..HttpRequest::default() };
+    CheckRequest {
+        attributes: Some(AttributeContext {
+            request: Some(Asked { http: Some(http) }),
+            ..AttributeContext::default()
+        }),
+    }
+}
+
+/// How a call ended.
+#[derive(Debug, Default)]
+pub struct Called {
+    pub http: u16,
+    /// `grpc-status`, from head or trailers.
+    pub status: Option<u16>,
+    pub message: String,
+    pub headers: HeaderMap,
+    pub body: Vec<u8>,
+}
+
+impl Called {
+    pub fn read<M: Message + Default>(&self) -> M {
+        assert_eq!((self.http, self.status), (200, Some(0)), "{self:?}");
+        let mut unary = Unary::new(1 << 20);
+        unary.push(&self.body).expect("one message");
+        M::decode(unary.finish().expect("whole")).expect("a message")
+    }
+
+    pub fn check(&self) -> CheckResponse {
+        self.read()
+    }
+
+    pub fn allowed(&self) -> Option<OkHttpResponse> {
+        match self.check() {
+            CheckResponse { status, http_response: Some(HttpResponse::OkResponse(ok)) } => {
+                assert_eq!(status.map(|s| s.code), Some(0));
+                Some(ok)
+            }
+            _ => None,
+        }
+    }
+
+    /// The denial and the code beside it.
+    pub fn denied(&self) -> Option<(DeniedHttpResponse, i32)> {
+        match self.check() {
+            CheckResponse { status: Some(s), http_response: Some(HttpResponse::DeniedResponse(denied)) } => {
+                Some((denied, s.code))
+            }
+            _ => None,
+        }
+    }
+}
+
+/// A connection that calls by a library.
+pub struct Caller {
+    runtime: Runtime,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl Caller {
+    pub fn new(address: SocketAddr) -> Caller {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.expect("a runtime");
+        let sender = runtime.block_on(async {
+            let stream = tokio::net::TcpStream::connect(address).await.expect("connect");
+            let (sender, connection) =
+                handshake(TokioExecutor::new(), TokioIo::new(stream)).await.expect("handshake");
+            tokio::spawn(connection);
+            sender
+        });
+        Caller { runtime, sender }
+    }
+
+    pub fn request(path: &str, headers: &[(&str, &str)], body: Bytes) -> Request<Full<Bytes>> {
+        let mut request = Request::post(format!("http://limiter{path}"));
+        request = request.header("content-type", "application/grpc").header("te", "trailers");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        request.body(Full::new(body)).expect("a request")
+    }
+
+    /// Calls and waits for the end; `None` where the stream or the connection broke.
+    pub fn send(&self, request: Request<Full<Bytes>>) -> Option<Called> {
+        let mut sender = self.sender.clone();
+        let call = async move {
+            let response = sender.send_request(request).await.ok()?;
+            let (head, body) = response.into_parts();
+            let body = body.collect().await.ok()?;
+            let trailers = body.trailers().cloned().unwrap_or_default();
+            let find = |name: &str| trailers.get(name).or(head.headers.get(name)).cloned();
+            let text = |name| find(name).and_then(|v| Some(v.to_str().ok()?.to_string()));
+            Some(Called {
+                http: head.status.as_u16(),
+                status: text("grpc-status").and_then(|s| s.parse().ok()),
+                message: text("grpc-message").unwrap_or_default(),
+                headers: head.headers.clone(),
+                body: body.to_bytes().to_vec(),
+            })
+        };
+        self.runtime.block_on(async { tokio::time::timeout(PATIENCE, call).await.expect("an end") })
+    }
+
+    pub fn call(&self, path: &str, message: &impl Message) -> Called {
+        self.send(Caller::request(path, &[], frame(message))).expect("an answer")
+    }
+
+    /// Sends these bytes as the body of a check.
+    pub fn raw(&self, body: &'static [u8]) -> Called {
+        self.send(Caller::request(CHECK, &[], Bytes::from_static(body))).expect("an answer")
+    }
+
+    pub fn ask(&self, question: &CheckRequest) -> Called {
+        self.call(CHECK, question)
+    }
+
+    /// Whether the call may be made.
+    pub fn permitted(&self, question: &CheckRequest) -> bool {
+        self.ask(question).allowed().is_some()
+    }
+
+    /// Starts a call and takes the first piece of its answer; the rest is read by `more`.
+    pub fn open(&self, path: &str, message: &impl Message) -> Opened<'_> {
+        let mut sender = self.sender.clone();
+        let request = Caller::request(path, &[], frame(message));
+        let response = self.runtime.block_on(async move { sender.send_request(request).await });
+        Opened { caller: self, body: response.expect("an answer").into_body() }
+    }
+}
+
+/// An answer that is read piece by piece.
+pub struct Opened<'a> {
+    caller: &'a Caller,
+    body: hyper::body::Incoming,
+}
+
+impl Opened<'_> {
+    /// The next piece: data, or the trailers' status.
+    pub fn next(&mut self) -> Option<Result<Bytes, u16>> {
+        let body = &mut self.body;
+        let next = async { tokio::time::timeout(PATIENCE, body.frame()).await.expect("a frame") };
+        let frame = self.caller.runtime.block_on(next)?.ok()?;
+        let frame = match frame.into_data() {
+            Ok(data) => return Some(Ok(data)),
+            Err(frame) => frame,
+        };
+        let trailers = frame.into_trailers().ok()?;
+        Some(Err(trailers.get("grpc-status")?.to_str().ok()?.parse().ok()?))
+    }
+}
+
+pub const DATA: u8 = 0;
+pub const HEADERS: u8 = 1;
+pub const RST_STREAM: u8 = 3;
+pub const SETTINGS: u8 = 4;
+pub const PING: u8 = 6;
+pub const GOAWAY: u8 = 7;
+pub const WINDOW_UPDATE: u8 = 8;
+pub const CONTINUATION: u8 = 9;
+pub const END_STREAM: u8 = 1;
+pub const END_HEADERS: u8 = 4;
+pub const ACK: u8 = 1;
+
+/// A frame as RFC 9113, 4.1 has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RawFrame {
+    pub kind: u8,
+    pub flags: u8,
+    pub stream: u32,
+    pub payload: Vec<u8>,
+}
+
+pub fn raw_frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let [_, a, b, c] = (payload.len() as u32).to_be_bytes();
+    let mut bytes = vec![a, b, c, kind, flags];
+    bytes.extend_from_slice(&stream.to_be_bytes());
+    bytes.extend_from_slice(payload);
+    bytes
+}
+
+/// A header list as literals that are neither indexed nor compressed: RFC 7541, 6.2.2. Lengths below 127.
+pub fn header_block(headers: &[(&str, &str)]) -> Vec<u8> {
+    let mut block = Vec::new();
+    for text in headers.iter().flat_map(|(name, value)| [Err(()), Ok(*name), Ok(*value)]) {
+        match text {
+            Err(()) => block.push(0),
+            Ok(text) => {
+                assert!(text.len() < 127);
+                block.push(text.len() as u8);
+                block.extend_from_slice(text.as_bytes());
+            }
+        }
+    }
+    block
+}
+
+pub fn call_headers(path: &str) -> Vec<u8> {
+    header_block(&[
+        (":method", "POST"),
+        (":scheme", "http"),
+        (":path", path),
+        (":authority", "limiter"),
+        ("content-type", "application/grpc"),
+        ("te", "trailers"),
+    ])
+}
+
+/// A connection whose frames are written by hand.
+pub struct Raw {
+    pub stream: TcpStream,
+}
+
+impl Raw {
+    /// Connects, and sends the preface with these settings (identifier and value).
+    pub fn new(address: SocketAddr, settings: &[(u16, u32)]) -> Raw {
+        let stream = TcpStream::connect(address).expect("connect");
+        stream.set_read_timeout(Some(PATIENCE)).expect("set");
+        stream.set_write_timeout(Some(PATIENCE)).expect("set");
+        stream.set_nodelay(true).expect("set");
+        let mut raw = Raw { stream };
+        raw.write(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n");
+        let mut payload = Vec::new();
+        for (identifier, value) in settings {
+            payload.extend_from_slice(&identifier.to_be_bytes());
+            payload.extend_from_slice(&value.to_be_bytes());
+        }
+        raw.send(SETTINGS, 0, 0, &payload);
+        raw
+    }
+
+    /// Writes what still goes out: the other side may have closed.
+    pub fn write(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
+    }
+
+    pub fn send(&mut self, kind: u8, flags: u8, stream: u32, payload: &[u8]) -> bool {
+        self.write(&raw_frame(kind, flags, stream, payload))
+    }
+
+    /// Opens a stream with a check's head.
+    pub fn head(&mut self, stream: u32) -> bool {
+        self.send(HEADERS, END_HEADERS, stream, &call_headers(CHECK))
+    }
+
+    pub fn ask(&mut self, stream: u32, question: &CheckRequest) -> bool {
+        self.head(stream) && self.send(DATA, END_STREAM, stream, &frame(question))
+    }
+
+    /// The next frame; `None` at the end of the connection.
+    pub fn next(&mut self) -> Option<RawFrame> {
+        let mut head = [0; 9];
+        self.stream.read_exact(&mut head).ok()?;
+        let length = u32::from_be_bytes([0, head[0], head[1], head[2]]) as usize;
+        let mut payload = vec![0; length];
+        self.stream.read_exact(&mut payload).ok()?;
+        let stream = u32::from_be_bytes([head[5], head[6], head[7], head[8]]) & 0x7fff_ffff;
+        Some(RawFrame { kind: head[3], flags: head[4], stream, payload })
+    }
+
+    /// Reads until a frame fits; `None` if the connection ended first.
+    pub fn until(&mut self, fits: impl Fn(&RawFrame) -> bool) -> Option<RawFrame> {
+        std::iter::from_fn(|| self.next()).find(fits)
+    }
+
+    /// Reads on to the end of the connection; whether it came in time.
+    pub fn closed(&mut self) -> bool {
+        let mut rest = [0; 4096];
+        loop {
+            match self.stream.read(&mut rest) {
+                Ok(0) => return true,
+                Ok(_) => {}
+                Err(e) => return e.kind() == std::io::ErrorKind::ConnectionReset,
+            }
+        }
+    }
+}
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Small fakes on loopback sockets, and the real binary between them.
 #![allow(dead_code)]
+pub mod grpc;
+
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -241,6 +243,8 @@
 /// The real binary.
 pub struct Limiter {
     pub address: SocketAddr,
+    /// Where it answers external authorisation, if it does.
+    pub grpc: Option<SocketAddr>,
     child: Child,
     errors: Arc<Mutex<String>>,
     log_closed: Arc<AtomicBool>,
@@ -291,6 +295,17 @@
         Limiter::spawn(command, file, config, discovery)
     }
 
+    /// Starts it with this text as the operator's own file and waits until it is ready. There is no counter.
+    pub fn with_operator_text(text: &str, settings: Value, servers: &[&Fake]) -> Limiter {
+        let list = servers.iter().enumerate();
+        let list = list.map(|(n, s)| instance(&format!("s-{n}"), s.address, "in_service")).collect();
+        let (file, discovery) = (scratch(text), discovery(list));
+        let limiter = Limiter::with_operator(&file, settings, discovery.address);
+        wait_until("the limiter is up", || limiter.up());
+        let _ = std::fs::remove_file(file);
+        limiter
+    }
+
     fn launch(command: Command, file: std::path::PathBuf, config: Value, discovery: SocketAddr) -> Limiter {
         let limiter = Limiter::spawn(command, file, config, discovery);
         wait_until("the limiter is up", || limiter.up());
@@ -313,8 +328,12 @@
         let mut child = command.stderr(Stdio::piped()).spawn().expect("start the limiter");
         let mut lines = BufReader::new(child.stderr.take().expect("stderr")).lines();
         let errors: Arc<Mutex<String>> = Arc::default();
+        let mut grpc = None;
         let address = loop {
             let line = lines.next().expect("it listens").expect("utf-8");
+            if let Some(address) = line.strip_prefix("liftrouter: gRPC on ") {
+                grpc = Some(address.parse().expect("an address"));
+            }
             if let Some(address) = line.strip_prefix("liftrouter: listening on ") {
                 break address.parse().expect("an address");
             }
@@ -329,7 +348,7 @@
                 log.lock().expect("lock").push_str(&(line + "\n"));
             }
         });
-        Limiter { address, child, errors, log_closed, file, config }
+        Limiter { address, grpc, child, errors, log_closed, file, config }
     }
 
     /// One with these servers, all in service, and a counter that works.
--- /dev/null
+++ b/crates/daemon/tests/grpc.rs
@@ -0,0 +1,287 @@
+//! The real binary as the server of external authorisation.
+mod common;
+
+use bytes::Bytes;
+use common::grpc::*;
+use common::*;
+use liftrouter_authz::messages::grpc::health::v1::{HealthCheckRequest, HealthCheckResponse};
+use liftrouter_authz::messages::grpc::reflection::v1::server_reflection_request::MessageRequest;
+use liftrouter_authz::messages::grpc::reflection::v1::server_reflection_response::MessageResponse;
+use liftrouter_authz::messages::grpc::reflection::v1::{ServerReflectionRequest, ServerReflectionResponse};
+use liftrouter_authz::{frame, Message, Splitter};
+use serde_json::{json, Value};
+
+const FRONT: &str = "[grpc]\nlisten = '127.0.0.1:0'\n";
+
+fn front(more: &str, settings: Value, servers: &[&Fake]) -> (Limiter, Caller) {
+    let limiter = Limiter::with_operator_text(&format!("{FRONT}{more}"), settings, servers);
+    let caller = Caller::new(limiter.grpc.expect("a gRPC front"));
+    (limiter, caller)
+}
+
+/// Settings without a counter, and with a plan whose bucket does not refill while a test runs.
+fn fixed(depth: f64, open: f64) -> Value {
+    let mut settings = settings();
+    settings["family-info"]["has-counter"] = json!(false);
+    settings["tariffs"] =
+        json!([{"name": "roomy", "rate": 0.0001, "depth": depth, "open": open, "pays": 1.0}]);
+    settings
+}
+
+#[test]
+fn it_permits_what_the_quota_holds_and_denies_the_rest() {
+    let server = Fake::new(|_| ok("quoted"));
+    let add = "[grpc.add]\nX-Permitted-By = 'value:limiter'\nx-of = 'path:2'\nx-none = 'label:none'\n";
+    let (_limiter, caller) = front(add, settings(), &[&server]);
+    // Plan `small` holds 4 and refills one a second.
+    let allowed = caller.ask(&question("quote", "small", 4)).allowed().expect("permitted");
+    let set =
+        allowed.headers.iter().map(|o| (o.header.clone().unwrap_or_default(), o.append, o.append_action));
+    let set: Vec<_> = set.map(|(h, append, action)| (h.key, h.value, append, action)).collect();
+    assert_eq!(
+        set,
+        [
+            ("x-permitted-by".to_string(), "limiter".to_string(), Some(false), 2),
+            ("x-of".to_string(), "00000000b4d65521".to_string(), Some(false), 2),
+        ]
+    );
+    let (denied, code) = caller.ask(&question("quote", "small", 4)).denied().expect("denied");
+    // RESOURCE_EXHAUSTED is the code that goes with 429.
+    assert_eq!((denied.status.map(|s| s.code), code), (Some(429), 8));
+    assert_eq!(denied.body, "refused: trying again is harmless\n");
+    for option in denied.headers {
+        let header = option.header.expect("a header");
+        assert_eq!(header.key, "retry-after");
+        assert!(header.value.parse::<f64>().is_ok_and(|s| s > 0.0 && s <= 2.0), "{}", header.value);
+    }
+    assert_eq!(server.count(), 0, "a permission sends nothing");
+}
+
+#[test]
+fn over_any_mixture_of_fronts_the_same_arrivals_get_the_same_answers() {
+    let answers = |share: u64| -> Vec<bool> {
+        let server = Fake::new(|_| ok("quoted"));
+        let (limiter, caller) = front("", fixed(60.0, 0.0), &[&server]);
+        let mut client = limiter.client();
+        let each = (0..40u64).map(|n| {
+            let units = 1 + (n % 4) as u32;
+            if n * 37 % 100 < share {
+                return caller.permitted(&question("quote", "roomy", units));
+            }
+            let text = quote("roomy", 1_500).replace("units=1", &format!("units={units}"));
+            match client.ask(&text).status() {
+                200 => true,
+                429 => false,
+                other => panic!("status {other}"),
+            }
+        });
+        each.collect()
+    };
+    let alone = answers(0);
+    // 60 units: the first 24 arrivals, 2.5 on average; then what still fits.
+    assert!(alone[..24].iter().all(|granted| *granted) && alone.contains(&false));
+    for share in [1, 10, 25, 50, 75, 90, 100] {
+        assert_eq!(answers(share), alone, "{share} % over gRPC");
+    }
+}
+
+#[test]
+fn malformed_questions_are_told_so_and_reach_nothing() {
+    let server = Fake::new(|_| ok("quoted"));
+    let (_limiter, caller) = front("", fixed(4.0, 0.0), &[&server]);
+    let good = |change: &dyn Fn(&mut std::collections::HashMap<String, String>, &mut String)| {
+        let mut q = question("quote", "roomy", 1);
+        let http = q.attributes.as_mut().and_then(|a| a.request.as_mut()).and_then(|r| r.http.as_mut());
+        let http = http.expect("a request");
+        change(&mut http.headers, &mut http.path);
+        q
+    };
+    let header = |name: &'static str, value: &'static str| {
+        good(&move |headers, _| drop(headers.insert(name.into(), value.into())))
+    };
+    let long: &'static str = Box::leak("x".repeat(129).into_boxed_str());
+    for (q, expected) in [
+        (good(&|_, path| *path = "/".into()), "the question has no class"),
+        (good(&|_, path| *path = "/qoute/00000000b4d65521".into()), "the class is unknown"),
+        (good(&|_, path| *path = "/quote/7".into()), "the customer is malformed"),
+        (good(&|_, path| *path = "/quote/ffffffffffffffff".into()), "the customer is malformed"),
+        (header("x-contract", "rommy"), "the plan is unknown"),
+        (header("x-metering", "units=0,spread=1"), "the units are malformed"),
+        (header("x-metering", "units=5,spread=1"), "the units are malformed"),
+        (header("x-metering", "units=1e0,spread=1"), "the units are malformed"),
+        (header("x-metering", "units=1,spread=3"), "the width is malformed"),
+        (header("x-metering", "units=1,spread=1.5"), "the width is malformed"),
+        (header("x-correlation-id", "a\r\nb"), "the id is malformed"),
+        (header("x-correlation-id", long), "the id is malformed"),
+        (header("x-time-left", "-5m"), "the time left is malformed"),
+        (
+            good(&|headers, path| {
+                *path = "/bind/00000000b4d65521".into();
+                headers.remove("idempotency-key");
+            }),
+            "the key is missing or malformed",
+        ),
+    ] {
+        let called = caller.ask(&q);
+        assert_eq!((called.status, called.message.as_str()), (Some(3), expected));
+    }
+    for (body, status, expected) in [
+        (&b""[..], 3, "the stream ended without a message"),
+        (b"\0\0\0\0\x05\x0a", 3, "the stream ended within a message"),
+        (b"\0\0\0\0\x01\x0a", 3, "the message is malformed"),
+        (b"\0\0\0\0\0\0\0\0\0\0", 3, "a second message, expected one"),
+        (b"\x02\0\0\0\0", 3, "the message's first byte is 2, expected 0"),
+        (b"\x01\0\0\0\0", 13, "the message is compressed, expected none to be"),
+        (b"\0\x7f\0\0\0", 8, "the message announces 2130706432 bytes, expected 65536 at most"),
+    ] {
+        let called = caller.raw(body);
+        assert_eq!(called.status, Some(status), "{body:?}");
+        assert!(called.message.contains(expected), "{:?} holds no {expected:?}", called.message);
+    }
+    // All of them drew nothing: the bucket's four are there.
+    assert!(caller.permitted(&question("quote", "roomy", 4)));
+    assert!(!caller.permitted(&question("quote", "roomy", 1)));
+    assert_eq!(server.count(), 0);
+}
+
+#[test]
+fn what_is_no_call_of_ours_is_told_so() {
+    let server = Fake::new(|_| ok("quoted"));
+    let (_limiter, caller) = front("", settings(), &[&server]);
+    let body = || frame(&question("quote", "roomy", 1));
+    let send = |request| caller.send(request).expect("an answer");
+    for path in ["/envoy.service.auth.v3.Authorization/Chek", "/x", "/", "/grpc.health.v1.Health/"] {
+        assert_eq!(send(Caller::request(path, &[], body())).status, Some(12), "{path}");
+    }
+    // A name that an installation may have dropped: version 2 of the protocol is not answered.
+    let old = "/envoy.service.auth.v2.Authorization/Check";
+    assert_eq!(send(Caller::request(old, &[], body())).status, Some(12));
+    let compressed = send(Caller::request(CHECK, &[("grpc-encoding", "gzip")], body()));
+    assert_eq!(compressed.status, Some(12));
+    assert_eq!(compressed.headers.get("grpc-accept-encoding").map(|v| v.as_bytes()), Some(&b"identity"[..]));
+    let mut json = Caller::request(CHECK, &[], body());
+    json.headers_mut().insert("content-type", "application/json".parse().expect("a value"));
+    assert_eq!(send(json).http, 415);
+    let mut get = Caller::request(CHECK, &[], Bytes::new());
+    *get.method_mut() = hyper::Method::GET;
+    assert_eq!(send(get).http, 405);
+}
+
+#[test]
+fn a_deadline_is_obeyed() {
+    let server = Fake::new(|_| ok("quoted"));
+    let (_limiter, caller) = front("", fixed(4.0, 0.0), &[&server]);
+    let with = |timeout: &str, units| {
+        let body = frame(&question("quote", "roomy", units));
+        caller.send(Caller::request(CHECK, &[("grpc-timeout", timeout)], body)).expect("an answer")
+    };
+    assert_eq!(with("0m", 1).status, Some(4));
+    assert_eq!(with("1n", 1).status, Some(4));
+    for malformed in ["", "5", "5s", "123456789m", "-1m"] {
+        assert_eq!(with(malformed, 1).status, Some(3), "{malformed:?}");
+    }
+    // Nothing was drawn for any of them.
+    assert!(with("10S", 4).allowed().is_some());
+}
+
+#[test]
+fn the_cap_counts_permitted_calls_until_their_time_is_up() {
+    let server = Fake::new(|_| ok("quoted"));
+    let (limiter, caller) = front("hold_ms = 300\n", fixed(1_000.0, 1.0), &[&server]);
+    assert!(caller.permitted(&question("quote", "roomy", 1)));
+    assert!(!caller.permitted(&question("quote", "roomy", 1)));
+    // And over the other front.
+    assert_eq!(limiter.client().ask(&quote("roomy", 1_500)).status(), 429);
+    wait_until("the call's time is up", || caller.permitted(&question("quote", "roomy", 1)));
+}
+
+#[test]
+fn an_id_is_open_over_one_front_at_a_time() {
+    let server = Fake::new(|_| Reply::Silence);
+    let (limiter, caller) = front("", settings(), &[&server]);
+    let mut client = limiter.client();
+    let text = quote("roomy", 60_000);
+    let id =
+        text.split("X-Correlation-Id: ").nth(1).and_then(|rest| rest.split("\r\n").next()).expect("an id");
+    client.send(&text);
+    wait_until("the request is out", || server.count() == 1);
+    let mut q = question("quote", "roomy", 1);
+    let http = q.attributes.as_mut().and_then(|a| a.request.as_mut()).and_then(|r| r.http.as_mut());
+    http.expect("a request").headers.insert("x-correlation-id".into(), id.into());
+    assert_eq!(caller.ask(&q).status, Some(6));
+    client.close();
+    wait_until("the id is free", || caller.ask(&q).status == Some(0));
+}
+
+#[test]
+fn health_and_reflection_answer_tools() {
+    let server = Fake::new(|_| ok("quoted"));
+    let (mut limiter, caller) = front("", settings(), &[&server]);
+    let health = |service: &str| caller.call(HEALTH, &HealthCheckRequest { service: service.into() });
+    for service in ["", "envoy.service.auth.v3.Authorization", "grpc.health.v1.Health"] {
+        assert_eq!(health(service).read::<HealthCheckResponse>().status, 1, "{service}");
+    }
+    assert_eq!(health("other").status, Some(5));
+    for version in ["v1", "v1alpha"] {
+        let path = REFLECTION.replace("v1", version);
+        let ask = MessageRequest::ListServices(String::new());
+        let request = ServerReflectionRequest { host: String::new(), message_request: Some(ask) };
+        let twice = [frame(&request), frame(&request)].concat();
+        let called = caller.send(Caller::request(&path, &[], twice.into())).expect("an answer");
+        assert_eq!(called.status, Some(0));
+        let mut splitter = Splitter::new(1 << 20);
+        splitter.push(&called.body);
+        for _ in 0..2 {
+            let message = splitter.next_message().expect("well-formed").expect("a message");
+            let answer = ServerReflectionResponse::decode(message).expect("an answer").message_response;
+            let Some(MessageResponse::ListServicesResponse(list)) = answer else { panic!("{answer:?}") };
+            assert_eq!(list.service.len(), 3);
+        }
+        assert!(splitter.is_empty());
+    }
+    // A watch tells the state, and its change.
+    let mut watch = caller.open(WATCH, &HealthCheckRequest::default());
+    let first = watch.next().expect("a state").expect("a message");
+    assert_eq!(first, frame(&HealthCheckResponse { status: 1 }));
+    limiter.terminate();
+    assert_eq!(watch.next().expect("a state").expect("a message"), frame(&HealthCheckResponse { status: 2 }));
+    assert_eq!(watch.next(), Some(Err(14)), "and then it ends");
+    assert!(limiter.wait().success());
+}
+
+#[test]
+fn at_its_end_it_answers_what_comes_and_then_sends_peers_away() {
+    let server = Fake::new(|_| ok("quoted"));
+    let (mut limiter, _) = front("", settings(), &[&server]);
+    let address = limiter.grpc.expect("a front");
+    let mut early = Raw::new(address, &[]);
+    early.ask(1, &question("quote", "roomy", 1));
+    early.until(|f| f.kind == HEADERS && f.flags & END_STREAM != 0).expect("trailers");
+    // A call that is half here when the end begins is still answered.
+    let q = frame(&question("quote", "roomy", 1));
+    early.head(3);
+    early.send(DATA, 0, 3, &q[..7]);
+    limiter.terminate();
+    let goaway = early.until(|f| f.kind == GOAWAY).expect("GOAWAY");
+    // The first names the highest number, so that calls on their way are not lost (RFC 9113, 6.8), and the
+    // code is NO_ERROR.
+    assert_eq!(goaway.payload, [&0x7fff_ffff_u32.to_be_bytes()[..], &[0; 4]].concat());
+    early.send(DATA, END_STREAM, 3, &q[7..]);
+    // One that crossed the GOAWAY.
+    early.ask(5, &question("quote", "roomy", 1));
+    let ping = early.until(|f| f.kind == PING && f.flags & ACK == 0);
+    let trailers = |f: &RawFrame| f.kind == HEADERS && f.flags & END_STREAM != 0;
+    // The library may have written the PING before the answers or behind them.
+    let mut ended = Vec::new();
+    if let Some(ping) = ping {
+        early.send(PING, ACK, 0, &ping.payload);
+    }
+    while let Some(frame) = early.next() {
+        if trailers(&frame) {
+            ended.push(frame.stream);
+        }
+    }
+    ended.sort_unstable();
+    assert_eq!(ended, [3, 5], "both calls were answered");
+    assert!(limiter.wait().success());
+}
