--- a/crates/authz/src/lib.rs
+++ b/crates/authz/src/lib.rs
@@ -14,6 +14,7 @@
 mod mapping;
 mod reflection;
 mod status;
+pub mod wire;
 
 /// The protocol's messages, generated from `proto/`.
 #[allow(missing_docs, clippy::all)]
--- a/crates/daemon/tests/authoriser.rs
+++ b/crates/daemon/tests/authoriser.rs
@@ -17,9 +17,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-const REFUSED_STREAM: u32 = 7;
-const CANCEL: u32 = 8;
-
 fn response(code: i32, http_response: Option<HttpResponse>) -> CheckResponse {
     CheckResponse { status: Some(Status { code, message: String::new() }), http_response }
 }
--- a/crates/daemon/tests/common/grpc.rs
+++ b/crates/daemon/tests/common/grpc.rs
@@ -13,6 +13,12 @@
 use liftrouter_authz::messages::envoy::service::auth::v3::{
     AttributeContext, CheckRequest, CheckResponse, DeniedHttpResponse, OkHttpResponse,
 };
+#[allow(unused_imports)]
+pub use liftrouter_authz::wire::{
+    self, answer, answer_head, answer_status, goaway, headers as header_block, raw as raw_frame,
+    Frame as RawFrame, ACK, CANCEL, CONTINUATION, DATA, END_HEADERS, END_STREAM, GOAWAY, HEADERS, PING,
+    REFUSED_STREAM, RST_STREAM, SETTINGS, WINDOW_UPDATE,
+};
 use liftrouter_authz::{frame, Message, Unary};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -200,60 +206,8 @@
     }
 }
 
-pub const DATA: u8 = 0;
-pub const HEADERS: u8 = 1;
-pub const RST_STREAM: u8 = 3;
-pub const SETTINGS: u8 = 4;
-pub const PING: u8 = 6;
-pub const GOAWAY: u8 = 7;
-pub const WINDOW_UPDATE: u8 = 8;
-pub const CONTINUATION: u8 = 9;
-pub const END_STREAM: u8 = 1;
-pub const END_HEADERS: u8 = 4;
-pub const ACK: u8 = 1;
-
-/// A frame as RFC 9113, 4.1 has it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RawFrame {
-    pub kind: u8,
-    pub flags: u8,
-    pub stream: u32,
-    pub payload: Vec<u8>,
-}
-
-pub fn raw_frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
-    let [_, a, b, c] = (payload.len() as u32).to_be_bytes();
-    let mut bytes = vec![a, b, c, kind, flags];
-    bytes.extend_from_slice(&stream.to_be_bytes());
-    bytes.extend_from_slice(payload);
-    bytes
-}
-
-/// A header list as literals that are neither indexed nor compressed: RFC 7541, 6.2.2. Lengths below 127.
-pub fn header_block(headers: &[(&str, &str)]) -> Vec<u8> {
-    let mut block = Vec::new();
-    for text in headers.iter().flat_map(|(name, value)| [Err(()), Ok(*name), Ok(*value)]) {
-        match text {
-            Err(()) => block.push(0),
-            Ok(text) => {
-                assert!(text.len() < 127);
-                block.push(text.len() as u8);
-                block.extend_from_slice(text.as_bytes());
-            }
-        }
-    }
-    block
-}
-
 pub fn call_headers(path: &str) -> Vec<u8> {
-    header_block(&[
-        (":method", "POST"),
-        (":scheme", "http"),
-        (":path", path),
-        (":authority", "limiter"),
-        ("content-type", "application/grpc"),
-        ("te", "trailers"),
-    ])
+    wire::call(0, path).split_off(9)
 }
 
 /// A connection whose frames are written by hand.
@@ -269,7 +223,7 @@
         stream.set_write_timeout(Some(PATIENCE)).expect("set");
         stream.set_nodelay(true).expect("set");
         let mut raw = Raw { stream };
-        raw.write(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n");
+        raw.write(wire::PREFACE);
         let mut payload = Vec::new();
         for (identifier, value) in settings {
             payload.extend_from_slice(&identifier.to_be_bytes());
@@ -299,13 +253,12 @@
 
     /// The next frame; `None` at the end of the connection.
     pub fn next(&mut self) -> Option<RawFrame> {
-        let mut head = [0; 9];
-        self.stream.read_exact(&mut head).ok()?;
-        let length = u32::from_be_bytes([0, head[0], head[1], head[2]]) as usize;
-        let mut payload = vec![0; length];
-        self.stream.read_exact(&mut payload).ok()?;
-        let stream = u32::from_be_bytes([head[5], head[6], head[7], head[8]]) & 0x7fff_ffff;
-        Some(RawFrame { kind: head[3], flags: head[4], stream, payload })
+        let mut bytes = vec![0; 9];
+        self.stream.read_exact(&mut bytes).ok()?;
+        let length = u32::from_be_bytes([0, bytes[0], bytes[1], bytes[2]]) as usize;
+        bytes.resize(9 + length, 0);
+        self.stream.read_exact(&mut bytes[9..]).ok()?;
+        RawFrame::take(&mut bytes)
     }
 
     /// Reads until a frame fits; `None` if the connection ended first.
@@ -343,26 +296,6 @@
     Close,
 }
 
-pub fn answer_head(stream: u32) -> Vec<u8> {
-    let block = header_block(&[(":status", "200"), ("content-type", "application/grpc")]);
-    raw_frame(HEADERS, END_HEADERS, stream, &block)
-}
-
-pub fn answer_status(stream: u32, status: &str) -> Vec<u8> {
-    raw_frame(HEADERS, END_HEADERS | END_STREAM, stream, &header_block(&[("grpc-status", status)]))
-}
-
-/// A whole answer.
-pub fn answer(stream: u32, message: &CheckResponse) -> Vec<u8> {
-    let data = raw_frame(DATA, 0, stream, &frame(message));
-    [answer_head(stream), data, answer_status(stream, "0")].concat()
-}
-
-/// GOAWAY with NO_ERROR.
-pub fn goaway(last: u32) -> Vec<u8> {
-    raw_frame(GOAWAY, 0, 0, &[last.to_be_bytes(), [0; 4]].concat())
-}
-
 #[derive(Default)]
 struct Record {
     questions: Mutex<Vec<CheckRequest>>,
--- a/crates/daemon/tests/grpc_limits.rs
+++ b/crates/daemon/tests/grpc_limits.rs
@@ -8,8 +8,6 @@
 use std::time::{Duration, Instant};
 
 const NO_ERROR: u32 = 0;
-const REFUSED_STREAM: u32 = 7;
-const CANCEL: u32 = 8;
 
 fn limiter(more: &str) -> (Limiter, SocketAddr) {
     let server = Fake::new(|_| ok("quoted"));
--- a/crates/rehearsal/src/daemon.rs
+++ b/crates/rehearsal/src/daemon.rs
@@ -58,7 +58,9 @@
     index: u8,
     /// Where it listens.
     pub address: SocketAddr,
-    _reserved: Reserved,
+    /// And where it answers external authorisation, if it does.
+    pub grpc: SocketAddr,
+    _reserved: [Reserved; 2],
     keeper: SocketAddr,
     list_at: SocketAddr,
     state: Mutex<State>,
@@ -72,8 +74,9 @@
     pub commands: Vec<String>,
     /// Where configurations and logs lie.
     pub folder: PathBuf,
-    /// Limiters get an operator's file of their own, `n0.toml` and so on in the folder.
-    pub operator_files: bool,
+    /// What each limiter's operator file says, `n0.toml` and so on in the folder; those of an empty text have
+    /// none.
+    pub operators: Vec<String>,
     /// The rehearsal.
     pub scenario: Arc<Scenario>,
     /// Its seed.
@@ -144,14 +147,15 @@
         index: u8,
         keeper: SocketAddr,
         list_at: SocketAddr,
+        (reserved, grpc): (Reserved, Reserved),
         shared: Arc<Shared>,
     ) -> io::Result<Arc<Limiter>> {
-        let reserved = Reserved::any()?;
         let state = State { wants: Wants::default(), pid: None, asked: false, paused: false, starts: 0 };
         Ok(Arc::new(Limiter {
             index,
             address: reserved.address,
-            _reserved: reserved,
+            grpc: grpc.address,
+            _reserved: [reserved, grpc],
             keeper,
             list_at,
             state: Mutex::new(state),
@@ -210,9 +214,12 @@
         let out = log.try_clone().map_err(|e| failed("its log", e))?;
         let mut command = Command::new("/bin/sh");
         let operator = self.shared.folder.join(format!("{name}.toml"));
-        let operator = match self.shared.operator_files {
-            true => format!(" --operator '{}'", operator.display()),
-            false => String::new(),
+        let operator = match self.shared.operators.get(usize::from(self.index)) {
+            Some(text) if !text.is_empty() => {
+                std::fs::write(&operator, text).map_err(|e| failed("its operator file", e))?;
+                format!(" --operator '{}'", operator.display())
+            }
+            _ => String::new(),
         };
         command.arg("-c").arg(format!("exec {}{operator}", self.command())).kill_on_drop(true);
         command.env("ROUTER_NAME", &name).env("ROUTER_CONFIG", &path);
--- a/crates/rehearsal/src/history.rs
+++ b/crates/rehearsal/src/history.rs
@@ -20,6 +20,19 @@
     Foreign,
 }
 
+/// What an authoriser made of a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Ruling {
+    /// Allowed.
+    Allowed,
+    /// Denied.
+    Denied,
+    /// Answered in a way that cannot be gone by, or not at all.
+    Wrong,
+    /// Told that it was not seen.
+    Unseen,
+}
+
 /// How an attempt ended, as its node saw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Over {
@@ -205,6 +218,15 @@
         /// Begins.
         on: bool,
     },
+    /// A question came whole to the authoriser, and got this.
+    Questioned {
+        /// The limiter.
+        limiter: u8,
+        /// The try; 0 where the question does not say.
+        id: TryId,
+        /// What it got.
+        ruling: Ruling,
+    },
     /// A call came to the keeper.
     Called {
         /// The limiter.
--- a/crates/rehearsal/src/ledger/book.rs
+++ b/crates/rehearsal/src/ledger/book.rs
@@ -1,6 +1,6 @@
 //! The book: every try and every attempt with all that is known of it, put together from the history.
 
-use crate::history::{AttemptId, Body, Entry, Event, Over, Process, TryId};
+use crate::history::{AttemptId, Body, Entry, Event, Over, Process, Ruling, TryId};
 use crate::schedule::Micros;
 use std::collections::{BTreeMap, HashMap};
 
@@ -24,6 +24,8 @@
     pub unanswered: Option<Micros>,
     pub left: Option<Micros>,
     pub surplus: Option<(Micros, u32)>,
+    /// An authoriser allowed it.
+    pub allowed: bool,
     pub attempts: Vec<AttemptId>,
     /// Its events in the history.
     pub entries: Vec<usize>,
@@ -102,6 +104,10 @@
                     self.of_try(id, n);
                 }
             }
+            // Questions that say nothing of a try are nobody's.
+            Event::Questioned { id, ruling, .. } if *id != 0 => {
+                self.of_try(*id, n).allowed |= *ruling == Ruling::Allowed;
+            }
             Event::Limiter { limiter, what } => {
                 self.processes.entry(*limiter).or_default().push((at, *what));
             }
--- a/crates/rehearsal/src/ledger/mod.rs
+++ b/crates/rehearsal/src/ledger/mod.rs
@@ -118,6 +118,8 @@
     pub refused_advised: usize,
     /// Refused without advice.
     pub refused: usize,
+    /// Denied by an authoriser.
+    pub denied: usize,
     /// Any other answer.
     pub failed: usize,
     /// The limiter could not be reached: never taken.
@@ -136,6 +138,12 @@
     pub attempts: usize,
     /// Those beyond the first of their try.
     pub resends: usize,
+    /// Tries for which permission was asked over gRPC, and those of them that were permitted.
+    pub permissions: usize,
+    /// Permitted; they are among those served.
+    pub permitted: usize,
+    /// Questions that came to the authoriser.
+    pub questions: usize,
     /// Calls of the keeper.
     pub keeper_calls: usize,
     /// Those that it answered.
@@ -150,6 +158,7 @@
     Served,
     RefusedAdvised,
     Refused,
+    Denied,
     Failed,
     Unreached,
     Left,
@@ -166,6 +175,7 @@
             (200, _) => Fate::Served,
             (429 | 503, Some(_)) => Fate::RefusedAdvised,
             (429 | 503, None) => Fate::Refused,
+            (403, _) => Fate::Denied,
             _ => Fate::Failed,
         };
     }
@@ -241,14 +251,20 @@
 pub fn judge(facts: &Facts, history: &[Entry], cut: Option<&str>) -> Judgement {
     let book = Book::of(history);
     let mut counts = Counts::default();
-    for log in book.tries.iter().filter(|(id, _)| facts.request(**id).is_some()).map(|(_, log)| log) {
+    for (id, log) in &book.tries {
+        let Some((request, _)) = facts.request(*id) else { continue };
         counts.tries += 1;
+        if request.permission.is_some() {
+            counts.permissions += 1;
+            counts.permitted += usize::from(fate(&book, log) == Fate::Served);
+        }
         counts.attempts += log.attempts.len();
         counts.resends += log.attempts.len().saturating_sub(1);
         *match fate(&book, log) {
             Fate::Served => &mut counts.served,
             Fate::RefusedAdvised => &mut counts.refused_advised,
             Fate::Refused => &mut counts.refused,
+            Fate::Denied => &mut counts.denied,
             Fate::Failed => &mut counts.failed,
             Fate::Unreached => &mut counts.unreached,
             Fate::Left => &mut counts.left,
@@ -266,6 +282,7 @@
                 counts.keeper_answers += usize::from(*answered);
             }
             Event::Probed { .. } => counts.probes += 1,
+            Event::Questioned { .. } => counts.questions += 1,
             _ => {}
         }
     }
--- a/crates/rehearsal/src/ledger/rules.rs
+++ b/crates/rehearsal/src/ledger/rules.rs
@@ -7,10 +7,11 @@
 };
 use super::{MOST_ATTEMPTS, ON_SOCKETS};
 use crate::history::{Body, Entry, Event, Listed, NodeNews, Over, Process};
-use crate::scenario::Effect;
+use crate::scenario::{Effect, WhenUnsure};
 use crate::schedule::{micros, seconds, Micros};
 use serde::Serialize;
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
 
 /// A rule that was broken, and the proof.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -170,6 +171,20 @@
 
     fn resends(&mut self, id: u64, log: &TryLog) {
         let Some((request, _)) = self.facts.request(id) else { return };
+        if let (Some(_), Some(attempt)) = (&request.permission, self.attempts(log).first()) {
+            let what = "permission was asked for it, and it was sent all the same".to_string();
+            self.accuse(2, attempt.at, Some(id), what, log.entries.clone());
+        }
+        let name = &self.facts.scenario.classes[request.class].name;
+        let must_ask = self.facts.scenario.authoriser.as_ref().and_then(|a| a.classes.get(name));
+        if must_ask == Some(&WhenUnsure::Refuse) && !log.allowed {
+            let permitted = log.reply.filter(|r| request.permission.is_some() && r.status == 200);
+            let went = self.attempts(log).first().map(|a| a.at).or(permitted.map(|r| r.at));
+            if let Some(at) = went {
+                let what = "it went on without the consent of its authoriser, which its class needs";
+                self.accuse(2, at, Some(id), what.into(), log.entries.clone());
+            }
+        }
         let class = &self.facts.scenario.classes[request.class];
         let attempts = self.attempts(log);
         let window = key_window(self.facts.scenario);
@@ -325,14 +340,28 @@
 
     // ----- rule 5 -----
 
+    /// A permission counts from its answer, as out until its client would give up.
     fn ceilings(&mut self) {
         let mut stores: HashMap<usize, Store> = HashMap::new();
         let mut out: HashMap<usize, i64> = HashMap::new();
+        let mut permitted: BinaryHeap<Reverse<(Micros, usize)>> = BinaryHeap::new();
         let mut seen = std::collections::HashSet::new();
         for (n, entry) in self.history.iter().enumerate() {
+            while let Some(Reverse((_, customer))) = permitted.peek().filter(|p| p.0 .0 <= entry.at) {
+                *out.entry(*customer).or_default() -= 1;
+                permitted.pop();
+            }
             match &entry.event {
-                Event::Arrived { id, .. } => {
+                Event::Arrived { id, .. } | Event::Answered { id, status: 200, .. } => {
                     let Some((request, _)) = self.facts.request(*id) else { continue };
+                    if matches!(entry.event, Event::Answered { .. }) {
+                        // Of what is forwarded the nodes tell.
+                        if request.permission.is_none() {
+                            continue;
+                        }
+                        let due = self.book.tries.get(id).and_then(|log| log.sent).map(|(_, _, due)| due);
+                        permitted.push(Reverse((due.unwrap_or(entry.at), request.customer)));
+                    }
                     let customer = &self.facts.schedule.customers[request.customer];
                     let out = out.entry(request.customer).or_default();
                     *out += 1;
--- a/crates/rehearsal/src/ledger/service.rs
+++ b/crates/rehearsal/src/ledger/service.rs
@@ -118,7 +118,7 @@
     pub refused_advised: u32,
     /// Refused without.
     pub refused: u32,
-    /// Failed.
+    /// Denied or failed.
     pub failed: u32,
     /// Not reached, lost or held by a limiter that was killed or paused.
     pub not_answered: u32,
@@ -168,15 +168,26 @@
     let mut sent_inside: HashSet<u64> = HashSet::new();
     let mut seen = HashSet::new();
     let (mut beyond_cost, mut crossed, mut work, mut wasted) = (0.0, 0usize, 0.0, 0.0);
+    let mut sent: Vec<(Micros, u64)> = Vec::new();
     for attempt in book.order.iter().filter_map(|a| book.attempts.get(a)) {
         let Some((request, _)) = facts.request(attempt.id) else { continue };
         let served = matches!(attempt.over, Some((_, Over::Answered(200))));
         work += seconds(request.work);
         wasted += if served { 0.0 } else { seconds(request.work) };
         crossed += usize::from(facts.room(attempt.node as usize) != facts.room(attempt.limiter as usize));
-        if seen.insert(attempt.id) {
-            if inside(&mut stores, request, attempt.at) {
-                sent_inside.insert(attempt.id);
+        sent.push((attempt.at, attempt.id));
+    }
+    // What is permitted is sent on by its client: it counts from its answer.
+    sent.extend(book.tries.iter().filter_map(|(id, log)| {
+        let permitted = facts.request(*id)?.0.permission.is_some();
+        log.reply.filter(|reply| permitted && reply.status == 200).map(|reply| (reply.at, *id))
+    }));
+    sent.sort_by_key(|(at, _)| *at);
+    for (at, id) in sent {
+        let Some((request, _)) = facts.request(id) else { continue };
+        if seen.insert(id) {
+            if inside(&mut stores, request, at) {
+                sent_inside.insert(id);
             } else {
                 let plan = facts.schedule.customers[request.customer].plan;
                 beyond_cost += facts.scenario.plans[plan].over_cost * worth(request);
@@ -228,7 +239,7 @@
             Fate::Served => s.served += 1,
             Fate::RefusedAdvised => s.refused_advised += 1,
             Fate::Refused => s.refused += 1,
-            Fate::Failed => s.failed += 1,
+            Fate::Failed | Fate::Denied => s.failed += 1,
             Fate::Left | Fate::Open => {}
             Fate::Unreached | Fate::HeldByKilled | Fate::HeldByPaused | Fate::Lost => s.not_answered += 1,
         }
--- a/crates/rehearsal/src/measure.rs
+++ b/crates/rehearsal/src/measure.rs
@@ -55,6 +55,7 @@
         tries: vec![Try { place: 0, backoff: 0 }],
         heeds: false,
         leaves: None,
+        permission: None,
     });
     let arrivals = arrivals.collect();
     let end = (scenario.length_s * 1e6) as u64;
--- a/crates/rehearsal/src/rehearsal.rs
+++ b/crates/rehearsal/src/rehearsal.rs
@@ -3,20 +3,25 @@
 use crate::daemon::{self, cpu_of, Limiter};
 use crate::history::{Entry, Event, Recorder};
 use crate::ledger::{judge, Facts, Judgement};
-use crate::net::link::{Link, Trouble};
-use crate::scenario::{Kind, Scenario, Through, Victim};
+use crate::net::link::{Link, Reserved, Trouble};
+use crate::scenario::{Kind, Scenario, Victim, WhenUnsure};
 use crate::schedule::{draw, micros, seconds, Micros, Peer, Planned, Schedule};
+use crate::standin::authoriser::Authoriser;
 use crate::standin::clients::{Clients, Front};
 use crate::standin::files::Files;
 use crate::standin::keeper::Keeper;
 use crate::standin::list::List;
 use crate::standin::nodes::{Condition, Fleet};
+use crate::standin::platform::flood;
+use std::collections::HashMap;
 use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 use tokio::time::{sleep, sleep_until};
 
 /// How often the kit looks how late it is itself.
@@ -71,6 +76,7 @@
 pub(crate) struct Links {
     keeper: Arc<Link>,
     list: Arc<Link>,
+    authoriser: Arc<Link>,
     nodes: Vec<Arc<Link>>,
 }
 
@@ -82,6 +88,9 @@
     pub(crate) keeper: Arc<Keeper>,
     pub(crate) list: Arc<List>,
     pub(crate) files: Arc<Files>,
+    pub(crate) authoriser: Option<Arc<Authoriser>>,
+    /// Floods by the number of their fault.
+    floods: Mutex<HashMap<u32, AbortHandle>>,
     pub(crate) fleet: Fleet,
     pub(crate) limiters: Vec<Arc<Limiter>>,
 }
@@ -103,6 +112,7 @@
     let stage = Stage::set(scenario.clone(), schedule.clone(), recorder.clone(), options)?;
     let addresses: Vec<_> = stage.limiters.iter().map(|l| l.address).collect();
     let front = Front::new(&addresses, scenario.load.front_notice_s);
+    front.ask_at(stage.limiters.iter().map(|l| l.grpc).collect());
     let secret = stage.fleet.shared.secret;
     let clients = Clients::new(scenario.clone(), schedule.clone(), recorder.clone(), front.clone(), secret);
     stage.introduce(&front);
@@ -207,6 +217,7 @@
             .map(|_| Links {
                 keeper: Link::new(),
                 list: Link::new(),
+                authoriser: Link::new(),
                 nodes: (0..nodes).map(|_| Link::new()).collect(),
             })
             .collect();
@@ -221,13 +232,25 @@
             node_links,
             None,
         )?;
-        let through = scenario.list.through;
         let files = Files::new(&scenario.list, options.folder.clone(), list.clone(), recorder.clone());
-        for n in 0..limiters {
-            files.keep(n as u8)?;
+        let authoriser = scenario.authoriser.clone().map(|a| Authoriser::new(a, recorder.clone()));
+        let (mut operators, mut reserved) = (Vec::new(), Vec::new());
+        for (n, links) in links.iter().enumerate() {
+            let own = (Reserved::any()?, Reserved::any()?);
+            let mut operator = files.keep(n as u8)?;
+            if scenario.load.permissions > 0.0 {
+                let listen = own.1.address;
+                operator.push_str(&format!("[grpc]\nlisten = '{listen}'\nstreams = 1000\n"));
+            }
+            if let Some(authoriser) = &authoriser {
+                let at = authoriser.serve(n as u8, links.authoriser.clone())?;
+                operator.push_str(&asking(&scenario, at));
+            }
+            operators.push(operator);
+            reserved.push(own);
         }
         let shared = Arc::new(daemon::Shared {
-            operator_files: through != Through::Discovery,
+            operators,
             commands: options.commands,
             folder: options.folder,
             scenario: scenario.clone(),
@@ -239,13 +262,26 @@
             started: AtomicU64::new(0),
         });
         let mut all = Vec::new();
-        for (n, links) in links.iter().enumerate() {
+        for ((n, links), own) in links.iter().enumerate().zip(reserved) {
             let n = n as u8;
             let keeper_at = keeper.serve(n, links.keeper.clone())?;
             let list_at = list.serve(n, links.list.clone())?;
-            all.push(Limiter::new(n, keeper_at, list_at, shared.clone())?);
+            all.push(Limiter::new(n, keeper_at, list_at, own, shared.clone())?);
         }
-        Ok(Stage { scenario, schedule, recorder, links, keeper, list, files, fleet, limiters: all })
+        let (limiters, floods) = (all, Mutex::default());
+        Ok(Stage {
+            scenario,
+            schedule,
+            recorder,
+            links,
+            keeper,
+            list,
+            files,
+            authoriser,
+            floods,
+            fleet,
+            limiters,
+        })
     }
 
     pub(crate) fn introduce(&self, front: &Arc<Front>) {
@@ -319,15 +355,16 @@
         match fault.peer {
             Peer::Keeper => links.keeper.begin(fault.id, trouble),
             Peer::List => links.list.begin(fault.id, trouble),
+            Peer::Authoriser => links.authoriser.begin(fault.id, trouble),
             Peer::Node(n) => links.nodes[n].begin(fault.id, trouble),
             Peer::All => {
-                let all = links.nodes.iter().chain([&links.keeper, &links.list]);
+                let all = links.nodes.iter().chain([&links.keeper, &links.list, &links.authoriser]);
                 all.for_each(|link| link.begin(fault.id, trouble));
             }
         }
     }
 
-    /// Cuts what crosses between a room and the others. Keeper and list stand in the first room; a limiter's
+    /// Cuts what crosses between a room and the others. Keeper, list and authoriser stand in the first room; a limiter's
     /// agent of the list stands beside it, and is silent while it hears nothing.
     fn cut_room(&self, fault: &Planned) {
         for (l, links) in self.links.iter().enumerate() {
@@ -339,6 +376,7 @@
             }
             if inside != (fault.victim == 0) {
                 links.keeper.begin(fault.id, Trouble::Cut);
+                links.authoriser.begin(fault.id, Trouble::Cut);
                 links.list.begin(fault.id, Trouble::Held);
             }
         }
@@ -348,6 +386,7 @@
         let id = fault.id;
         let node = || &self.fleet.nodes[fault.victim];
         let limiter = || &self.limiters[fault.victim];
+        let authoriser = || self.authoriser.iter();
         let address = |done: io::Result<()>| done.expect("an address for a node's process");
         match fault.kind {
             Kind::KeeperSilent => self.keeper.fall_silent(id),
@@ -373,6 +412,15 @@
             Kind::ListDrains => node().list_drains(id, true),
             Kind::FileDamaged => self.files.damage(id),
             Kind::FileMissing => self.files.remove(id),
+            Kind::AuthoriserSilent => authoriser().for_each(|a| a.fall_silent(id)),
+            Kind::AuthoriserSlow => authoriser().for_each(|a| a.slow_down(id, fault.size)),
+            Kind::AuthoriserRefusing => authoriser().for_each(|a| a.refuse(id)),
+            Kind::AuthoriserRubbish => authoriser().for_each(|a| a.spoil(id)),
+            Kind::AuthoriserGoaway => authoriser().for_each(|a| a.leave(id)),
+            Kind::ResetFlood => {
+                let flood = tokio::spawn(flood(limiter().grpc, fault.size)).abort_handle();
+                self.floods.lock().unwrap_or_else(PoisonError::into_inner).insert(id, flood);
+            }
             Kind::LimiterKilled => limiter().kill(id),
             Kind::LimiterTerminated => limiter().terminate(id),
             Kind::LimiterPaused => limiter().pause(id),
@@ -394,14 +442,34 @@
         self.keeper.undo(id);
         self.list.undo(id);
         self.files.undo(id);
+        self.authoriser.iter().for_each(|a| a.undo(id));
+        if let Some(flood) = self.floods.lock().unwrap_or_else(PoisonError::into_inner).remove(&id) {
+            flood.abort();
+        }
         for links in &self.links {
             links.keeper.undo(id);
             links.list.undo(id);
+            links.authoriser.undo(id);
             links.nodes.iter().for_each(|link| link.undo(id));
         }
     }
 }
 
+/// What a limiter's operator file says of the authoriser.
+fn asking(s: &Scenario, at: SocketAddr) -> String {
+    let Some(a) = &s.authoriser else { return String::new() };
+    let classes = a.classes.iter().map(|(class, when)| {
+        let when = if *when == WhenUnsure::Pass { "pass" } else { "refuse" };
+        format!("{class} = '{when}'")
+    });
+    format!(
+        "[[authoriser]]\nname = 'stand-in'\naddress = '{at}'\nclasses = {{ {} }}\ntimeout_ms = {}\nconnections = {}\n",
+        classes.collect::<Vec<_>>().join(", "),
+        a.timeout_ms.ceil(),
+        a.connections
+    )
+}
+
 enum Step {
     Undo(usize),
     Begin(usize),
@@ -433,6 +501,7 @@
         let peer = match (about.peer, self.peer) {
             (true, Peer::Keeper) => " to the keeper".into(),
             (true, Peer::List) => " to the list".into(),
+            (true, Peer::Authoriser) => " to the authoriser".into(),
             (true, Peer::Node(n)) => format!(" to s-{n}"),
             _ => String::new(),
         };
--- a/crates/rehearsal/src/report/text.rs
+++ b/crates/rehearsal/src/report/text.rs
@@ -39,6 +39,13 @@
         "  limiter not reached {}, held by a killed one {}, by a paused one {}, lost {}, open {}",
         c.unreached, c.held_by_killed, c.held_by_paused, c.lost, c.open
     );
+    if c.permissions + c.questions > 0 {
+        let _ = writeln!(
+            t,
+            "  permissions asked over gRPC {}, permitted {}; questions to the authoriser {}, denied {}",
+            c.permissions, c.permitted, c.questions, c.denied
+        );
+    }
     let _ =
         writeln!(t, "  keeper calls {} ({} answered), probes {}", c.keeper_calls, c.keeper_answers, c.probes);
     let _ = writeln!(
--- a/crates/rehearsal/src/scenario/check.rs
+++ b/crates/rehearsal/src/scenario/check.rs
@@ -150,6 +150,20 @@
     {
         c.number(("load", 0, key), share, 0.0, 1.0);
     }
+    for (key, share) in [("permissions", s.load.permissions), ("resets", s.load.resets)] {
+        c.number(("load", 0, key), share, 0.0, 1.0);
+    }
+    if let Some(a) = &s.authoriser {
+        c.number(("authoriser", 0, "call_ms"), a.call_ms, 0.0, 60_000.0);
+        c.number(("authoriser", 0, "timeout_ms"), a.timeout_ms, 1.0, 60_000.0);
+        c.number(("authoriser", 0, "deny"), a.deny, 0.0, 1.0);
+        c.number(("authoriser", 0, "connections"), a.connections as f64, 1.0, 64.0);
+        let names: Vec<_> = s.classes.iter().map(|k| k.name.clone()).collect();
+        for class in a.classes.keys().filter(|class| !names.contains(class)) {
+            let span = c.key("authoriser", 0, "classes");
+            c.say(span, format!("classes has {class:?}, expected one of {}", names.join(", ")));
+        }
+    }
     c.number(("load", 0, "retries"), f64::from(s.load.retries), 0.0, 10.0);
     let span = c.key("load", 0, "backoff_ms");
     c.range(span, "backoff_ms", s.load.backoff_ms, 1.0, 60_000.0);
@@ -240,6 +254,7 @@
     if let Some(peer) = &f.peer {
         if about.peer {
             let mut names = vec!["keeper".to_string(), "list".to_string()];
+            names.extend(s.authoriser.is_some().then(|| "authoriser".to_string()));
             names.extend(s.node_names());
             c.one_of(peer.span(), "peer", peer.get_ref(), &names);
         } else {
@@ -273,6 +288,22 @@
         let what = format!("{} without files, expected list.through = \"csv\" or \"yaml\"", about.name);
         c.say(Some(f.what.span()), what);
     }
+    let of_authoriser = matches!(
+        kind,
+        Kind::AuthoriserSilent
+            | Kind::AuthoriserSlow
+            | Kind::AuthoriserRefusing
+            | Kind::AuthoriserRubbish
+            | Kind::AuthoriserGoaway
+    );
+    if of_authoriser && s.authoriser.is_none() {
+        let what = format!("{} without an authoriser, expected [authoriser]", about.name);
+        c.say(Some(f.what.span()), what);
+    }
+    if kind == Kind::ResetFlood && s.load.permissions <= 0.0 {
+        let what = "reset-flood without a gRPC front, expected load.permissions above 0";
+        c.say(Some(f.what.span()), what.into());
+    }
     if kind == Kind::RoomCut && s.rooms.len() < 2 {
         c.say(Some(f.what.span()), "room-cut with one room, expected two at least".into());
     }
--- a/crates/rehearsal/src/scenario/faults.rs
+++ b/crates/rehearsal/src/scenario/faults.rs
@@ -44,6 +44,12 @@
     LimiterKilled,
     LimiterTerminated,
     LimiterPaused,
+    AuthoriserSilent,
+    AuthoriserSlow,
+    AuthoriserRefusing,
+    AuthoriserRubbish,
+    AuthoriserGoaway,
+    ResetFlood,
     StandInPanics,
 }
 
@@ -176,6 +182,48 @@
     ),
     about(Kind::LimiterTerminated, "limiter-terminated", Victim::Limiter, true, "SIGTERM, and started anew"),
     about(Kind::LimiterPaused, "limiter-paused", Victim::Limiter, true, "SIGSTOP, then SIGCONT"),
+    about(
+        Kind::AuthoriserSilent,
+        "authoriser-silent",
+        Victim::None,
+        true,
+        "the authoriser takes questions and answers none",
+    ),
+    about(Kind::AuthoriserSlow, "authoriser-slow", Victim::None, true, "its answers take longer").size(
+        "milliseconds",
+        60.0,
+        0.0,
+        60_000.0,
+    ),
+    about(
+        Kind::AuthoriserRefusing,
+        "authoriser-refusing",
+        Victim::None,
+        true,
+        "its connections are reset, and new ones refused",
+    ),
+    about(
+        Kind::AuthoriserRubbish,
+        "authoriser-rubbish",
+        Victim::None,
+        true,
+        "it answers twice, half, wrongly framed, compressed, with errors alone or not at all, in turn",
+    ),
+    about(
+        Kind::AuthoriserGoaway,
+        "authoriser-goaway",
+        Victim::None,
+        true,
+        "each question meets a GOAWAY, in turn above and below its last id",
+    ),
+    about(
+        Kind::ResetFlood,
+        "reset-flood",
+        Victim::Limiter,
+        true,
+        "somebody opens streams of its gRPC front and resets them at once",
+    )
+    .size("resets a second", 10_000.0, 1.0, 100_000.0),
     about(
         Kind::StandInPanics,
         "stand-in-panics",
--- a/crates/rehearsal/src/scenario/mod.rs
+++ b/crates/rehearsal/src/scenario/mod.rs
@@ -11,6 +11,7 @@
 pub use faults::{Kind, Victim, KINDS};
 
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::path::Path;
 use toml::Spanned;
 
@@ -67,6 +68,8 @@
     /// The list of servers.
     #[serde(default)]
     pub list: List,
+    /// A service that limiters ask about requests of some classes first.
+    pub authoriser: Option<Authoriser>,
     /// What clients ask, and how they behave.
     pub load: Load,
     /// Classes of requests.
@@ -220,6 +223,38 @@
     }
 }
 
+/// What becomes of a request about which the authoriser gave no answer to go by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WhenUnsure {
+    /// It goes on.
+    Pass,
+    /// It is refused.
+    Refuse,
+}
+
+/// The authoriser. It stands in the first room.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Authoriser {
+    /// The classes about which it is asked.
+    pub classes: BTreeMap<String, WhenUnsure>,
+    /// What an answer takes.
+    pub call_ms: f64,
+    /// Limiters give a question up after this time.
+    pub timeout_ms: f64,
+    /// Share of the tries that it denies.
+    pub deny: f64,
+    /// Connections of each limiter.
+    pub connections: usize,
+}
+
+impl Default for Authoriser {
+    fn default() -> Self {
+        Authoriser { classes: BTreeMap::new(), call_ms: 2.0, timeout_ms: 100.0, deny: 0.0, connections: 1 }
+    }
+}
+
 /// What clients ask, and how they behave.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -244,6 +279,12 @@
     /// Share of the requests whose client leaves before it is answered.
     #[serde(default)]
     pub leave: f64,
+    /// Share of the requests for which a platform asks permission over gRPC, and which it would send itself.
+    #[serde(default)]
+    pub permissions: f64,
+    /// Share of those whose stream is reset before it is answered.
+    #[serde(default)]
+    pub resets: f64,
     /// Seconds until the front notices that a limiter is dead.
     #[serde(default = "front")]
     pub front_notice_s: f64,
--- a/crates/rehearsal/src/schedule.rs
+++ b/crates/rehearsal/src/schedule.rs
@@ -79,6 +79,15 @@
     pub heeds: bool,
     /// Its client leaves this long after it has sent the first try.
     pub leaves: Option<Micros>,
+    /// Its client asks permission over gRPC, and would send it itself.
+    pub permission: Option<Permission>,
+}
+
+/// How permission is asked.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Permission {
+    /// The first try's stream is reset so long after it has been opened.
+    pub resets: Option<Micros>,
 }
 
 impl Arrival {
@@ -103,6 +112,8 @@
     Keeper,
     /// The list.
     List,
+    /// The authoriser.
+    Authoriser,
     /// A node.
     Node(usize),
 }
@@ -189,6 +200,7 @@
     let mut arrivals: Vec<Arrival> =
         customers.iter().enumerate().flat_map(|(n, c)| draw_arrivals(scenario, n, c, &mut load)).collect();
     arrivals.sort_by_key(|a| (a.at, a.customer));
+    draw_permissions(scenario, &mut arrivals, &mut rng(seed, "permissions"));
     let faults = draw_faults(scenario, &mut rng(seed, "faults"));
     Schedule { seed, speeds, customers, arrivals, faults, end: micros(scenario.length_s) }
 }
@@ -287,6 +299,20 @@
         tries,
         heeds,
         leaves,
+        permission: None,
+    }
+}
+
+/// Which requests are asked about over gRPC, and which of those are reset. Drawn apart, so that all else is
+/// as it would be without.
+fn draw_permissions(s: &Scenario, arrivals: &mut [Arrival], rng: &mut Rng) {
+    for arrival in arrivals {
+        let (asked, reset, part) = (rng.f64(), rng.f64(), rng.f64());
+        if asked < s.load.permissions {
+            // Most decisions take less than a millisecond; with an authoriser, some.
+            let resets = (reset < s.load.resets).then(|| micros(part * part * 0.01));
+            arrival.permission = Some(Permission { resets });
+        }
     }
 }
 
@@ -327,6 +353,7 @@
         None => Peer::All,
         Some("keeper") => Peer::Keeper,
         Some("list") => Peer::List,
+        Some("authoriser") => Peer::Authoriser,
         Some(node) => Peer::Node(s.node_names().iter().position(|n| n == node).unwrap_or(0)),
     };
     let size =
--- a/crates/rehearsal/src/standin/clients.rs
+++ b/crates/rehearsal/src/standin/clients.rs
@@ -9,10 +9,11 @@
 use crate::scenario::{Effect, Scenario};
 use crate::schedule::{Arrival, Micros, Schedule};
 use crate::standin::nodes::is_own;
+use crate::standin::platform::{Call, Lines, Said};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -45,6 +46,8 @@
 pub struct Front {
     gates: Vec<Gate>,
     notice: Duration,
+    /// Connections over which platforms ask for permission.
+    lines: OnceLock<Lines>,
 }
 
 impl Front {
@@ -54,9 +57,15 @@
         Arc::new(Front {
             gates: addresses.iter().map(gate).collect(),
             notice: Duration::from_secs_f64(notice_s),
+            lines: OnceLock::new(),
         })
     }
 
+    /// Where limiters answer questions for permission; told once, before any is asked.
+    pub fn ask_at(&self, addresses: Vec<SocketAddr>) {
+        let _ = self.lines.set(Lines::new(&addresses));
+    }
+
     /// A limiter is ready for clients.
     pub fn up(&self, limiter: usize) {
         let mut state = lock(&self.gates[limiter].state);
@@ -197,7 +206,13 @@
             let customer = &self.schedule.customers[arrival.customer];
             let limiter = self.front.route(customer.first, customer.spread, one.place);
             let leaves = arrival.leaves.filter(|_| n == 0).map(|after| began + Duration::from_micros(after));
-            let ended = self.ask(index, n, limiter, due, leaves).await;
+            let ended = match &arrival.permission {
+                None => self.ask(index, n, limiter, due, leaves).await,
+                Some(permission) => {
+                    let resets = permission.resets.filter(|_| n == 0).map(Duration::from_micros);
+                    self.ask_permission(index, n, limiter, due, resets).await
+                }
+            };
             let advice = match ended {
                 Ended::Served => return true,
                 Ended::Left => return false,
@@ -307,6 +322,75 @@
         }
     }
 
+    /// Asks permission for a try; `resets` is how long after its beginning its stream is reset.
+    async fn ask_permission(
+        &self,
+        index: usize,
+        n: usize,
+        limiter: usize,
+        due: Instant,
+        resets: Option<Duration>,
+    ) -> Ended {
+        let id = Arrival::id(index, n);
+        let arrival = &self.schedule.arrivals[index];
+        let customer = &self.schedule.customers[arrival.customer];
+        let unreached = || {
+            self.recorder.note(Event::Unreached { id, limiter: limiter as u8 });
+            Ended::Unreached
+        };
+        let Some(lines) = self.front.lines.get() else { return unreached() };
+        let (guess, spread, first) = (arrival.guess, customer.spread, customer.first);
+        let call = Call {
+            class: &self.scenario.classes[arrival.class],
+            customer: customer.number,
+            plan: &self.scenario.plans[customer.plan].name,
+            id,
+            key: index as u64,
+            metering: format!("units={guess},spread={spread},first={first}"),
+            due,
+        };
+        for again in [false, true] {
+            let Ok(Some(line)) = timeout(CONNECT, lines.line(limiter)).await else { return unreached() };
+            self.recorder.note(if again {
+                Event::Resent { id }
+            } else {
+                Event::Sent { id, limiter: limiter as u8, due: self.recorder.at(due) }
+            });
+            let reset_at = Instant::now() + resets.unwrap_or_default();
+            let said = tokio::select! {
+                said = call.put(line) => said,
+                () = sleep_until((due + PATIENCE).into()) => {
+                    self.recorder.note(Event::Unanswered { id });
+                    return Ended::Failed;
+                }
+                () = sleep_until(reset_at.into()), if resets.is_some() => {
+                    self.recorder.note(Event::Left { id });
+                    return Ended::Left;
+                }
+            };
+            let (status, advice) = match said {
+                Said::Answer(status, advice) => (status, advice),
+                Said::Unseen => {
+                    lines.forget(limiter);
+                    continue;
+                }
+                Said::Broken => {
+                    self.recorder.note(Event::Lost { id, bytes: 0 });
+                    return Ended::Failed;
+                }
+            };
+            let advice = advice.filter(|s| s.is_finite() && *s > 0.0).map(Duration::from_secs_f64);
+            let told = advice.map(|a| a.as_micros() as Micros);
+            self.recorder.note(Event::Answered { id, status, advice: told, body: Body::Own });
+            return match status {
+                200 => Ended::Served,
+                429 | 503 => Ended::Refused(advice),
+                _ => Ended::Failed,
+            };
+        }
+        unreached()
+    }
+
     fn answered(&self, id: TryId, limiter: usize, answer: Answer, rest: Vec<u8>, stream: TcpStream) -> Ended {
         let advice = answer.headers.get("retry-after").and_then(|t| t.trim().parse::<f64>().ok());
         let advice = advice.filter(|s| s.is_finite() && *s > 0.0).map(Duration::from_secs_f64);
--- a/crates/rehearsal/src/standin/files.rs
+++ b/crates/rehearsal/src/standin/files.rs
@@ -66,13 +66,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Writes a limiter's operator file, and keeps its inventory from now on.
+    /// Keeps a limiter's inventory from now on, and gives what its operator file is to say of it.
     ///
     /// # Errors
     /// A file cannot be written.
-    pub fn keep(self: &Arc<Self>, limiter: u8) -> io::Result<()> {
+    pub fn keep(self: &Arc<Self>, limiter: u8) -> io::Result<String> {
         let (key, name) = match self.through {
-            Through::Discovery => return Ok(()),
+            Through::Discovery => return Ok(String::new()),
             Through::Csv => ("csv", "nodes.csv"),
             Through::Yaml => ("yaml", "nodes.yaml"),
         };
@@ -82,12 +82,11 @@
         std::fs::create_dir_all(&folder)?;
         let file = folder.join(name);
         let operator = format!("[inventory]\n{key} = '{}'\nmost_removed = 1.0\n", file.display());
-        std::fs::write(self.folder.join(format!("n{limiter}.toml")), operator)?;
         let (version, entries) = self.list.snapshot();
         std::fs::write(&file, self.text(limiter, version, &entries))?;
         self.wrote(limiter, version, &entries);
         tokio::spawn(self.clone().follow(limiter, file));
-        Ok(())
+        Ok(operator)
     }
 
     async fn follow(self: Arc<Self>, limiter: u8, file: PathBuf) {
--- a/crates/rehearsal/src/standin/mod.rs
+++ b/crates/rehearsal/src/standin/mod.rs
@@ -1,11 +1,13 @@
 //! Stand-ins for what a limiter talks to. Each speaks the deployment's protocol on real sockets, notes what it
 //! sees in the history, and can be made to fail by the number of a fault.
 
+pub mod authoriser;
 pub mod clients;
 pub mod files;
 pub mod keeper;
 pub mod list;
 pub mod nodes;
+pub mod platform;
 pub mod proxy;
 
 use crate::net::link::Pipe;
--- a/crates/rehearsal/tests/ledger.rs
+++ b/crates/rehearsal/tests/ledger.rs
@@ -2,10 +2,10 @@
 mod common;
 
 use common::small;
-use liftrouter_rehearsal::history::{Body, Entry, Event, Listed, NodeNews, Over, Process};
+use liftrouter_rehearsal::history::{Body, Entry, Event, Listed, NodeNews, Over, Process, Ruling};
 use liftrouter_rehearsal::ledger::{judge, Facts, Judgement, Verdict};
-use liftrouter_rehearsal::scenario::Scenario;
-use liftrouter_rehearsal::schedule::{Arrival, Customer, Micros, Schedule, Try};
+use liftrouter_rehearsal::scenario::{Authoriser, Scenario, WhenUnsure};
+use liftrouter_rehearsal::schedule::{Arrival, Customer, Micros, Permission, Schedule, Try};
 use proptest::prelude::*;
 
 const MS: Micros = 1_000;
@@ -54,6 +54,7 @@
             tries: vec![Try { place: 0, backoff: 0 }; 3],
             heeds: true,
             leaves: None,
+            permission: None,
         });
         Arrival::id(self.schedule.arrivals.len() - 1, 0)
     }
@@ -443,6 +444,145 @@
     assert!(t.accused(5, Some(ids[9])).contains("beyond its ceiling"));
 }
 
+// ----- permissions -----
+
+impl Told {
+    /// A try about which permission is asked, of a customer with ceiling and cap.
+    fn permission(&mut self, ms: u64, class: usize, customer: usize, units: u32) -> u64 {
+        let id = self.request(ms, class, customer, units);
+        let last = self.schedule.arrivals.last_mut().expect("it was just pushed");
+        last.permission = Some(Permission { resets: None });
+        self.send(ms, id);
+        id
+    }
+
+    fn needs_consent(&mut self, class: &str, when: WhenUnsure) {
+        let classes = [(class.to_string(), when)].into();
+        self.scenario.authoriser = Some(Authoriser { classes, ..Authoriser::default() });
+    }
+
+    fn questioned(&mut self, ms: u64, id: u64, ruling: Ruling) {
+        self.at(ms, Event::Questioned { limiter: 0, id, ruling });
+    }
+}
+
+#[test]
+fn a_permission_gets_one_answer_in_time_and_sends_nothing() {
+    let mut t = Told::new();
+    let id = t.permission(0, QUOTE, 0, 1);
+    t.answered(5, id, 200);
+    let counts = t.kept().counts;
+    assert_eq!((counts.permissions, counts.permitted, counts.served, counts.attempts), (1, 1, 1, 0));
+    let mut late = Told::new();
+    let id = late.permission(0, QUOTE, 0, 1);
+    late.answered(2_200, id, 200);
+    assert!(late.accused(1, Some(id)).contains("after its client's deadline"));
+    let mut lost = Told::new();
+    let id = lost.permission(0, QUOTE, 0, 1);
+    lost.at(7, Event::Lost { id, bytes: 0 });
+    assert!(lost.accused(1, Some(id)).contains("with no answer"));
+    let mut sent = Told::new();
+    let id = sent.permission(0, QUOTE, 0, 1);
+    let attempt = sent.arrives(1, id, 0);
+    sent.over(3, attempt, Over::Answered(200));
+    sent.answered(5, id, 200);
+    assert!(sent.accused(2, Some(id)).contains("it was sent all the same"));
+}
+
+#[test]
+fn permissions_and_requests_count_against_one_ceiling() {
+    // As for requests alone: nine of four units are within, ten are not.
+    let run = |count: u64| {
+        let mut t = Told::new();
+        let mut ids = Vec::new();
+        for n in 0..count {
+            if n % 2 == 0 {
+                // The customer has a cap too: what is permitted is long over when the next is asked.
+                t.scenario.plans[0].open = 0;
+                let id = t.permission(n, QUOTE, 0, 4);
+                t.answered(n + 1, id, 200);
+                ids.push(id);
+            } else {
+                let id = t.request(n, QUOTE, 0, 4);
+                t.send(n, id);
+                let attempt = t.arrives(n + 1, id, 0);
+                t.over(n + 1, attempt, Over::Answered(200));
+                t.answered(n + 3, id, 200);
+                ids.push(id);
+            }
+        }
+        (t, ids)
+    };
+    run(9).0.kept();
+    let (mut t, ids) = run(10);
+    assert!(t.accused(5, Some(ids[9])).contains("beyond its ceiling"));
+}
+
+#[test]
+fn a_permitted_call_is_out_until_its_client_would_give_up() {
+    // Three at once, twice that and one for each limiter of the set: eight.
+    let run = |count: u64, apart: u64| {
+        let mut t = Told::new();
+        let ids: Vec<u64> = (0..count)
+            .map(|n| {
+                let id = t.permission(n * apart, QUOTE, 1, 1);
+                t.answered(n * apart + 1, id, 200);
+                id
+            })
+            .collect();
+        (t, ids)
+    };
+    run(8, 1).0.kept();
+    let (mut t, ids) = run(9, 1);
+    assert!(t.accused(5, Some(ids[8])).contains("9 attempts out at once"));
+    // 2 s apart by eight: each time the first is over.
+    run(30, 260).0.kept();
+    // Refused ones are not out.
+    let mut refused = Told::new();
+    for n in 0..20 {
+        let id = refused.permission(n, QUOTE, 1, 1);
+        refused.answered(n + 1, id, 429);
+    }
+    refused.kept();
+}
+
+#[test]
+fn where_a_class_needs_consent_nothing_goes_on_without() {
+    let run = |when, ruling: Option<Ruling>, permission: bool| {
+        let mut t = Told::new();
+        t.needs_consent("quote", when);
+        let id = if permission { t.permission(0, QUOTE, 0, 1) } else { t.sent(0, QUOTE) };
+        if let Some(ruling) = ruling {
+            t.questioned(1, id, ruling);
+        }
+        if !permission {
+            let attempt = t.arrives(2, id, 0);
+            t.over(3, attempt, Over::Answered(200));
+        }
+        t.answered(5, id, 200);
+        (t, id)
+    };
+    for permission in [false, true] {
+        run(WhenUnsure::Refuse, Some(Ruling::Allowed), permission).0.kept();
+        for ruling in [None, Some(Ruling::Denied), Some(Ruling::Wrong), Some(Ruling::Unseen)] {
+            let (mut t, id) = run(WhenUnsure::Refuse, ruling, permission);
+            assert!(t.accused(2, Some(id)).contains("without the consent of its authoriser"));
+        }
+        run(WhenUnsure::Pass, None, permission).0.kept();
+    }
+    // Unseen once, allowed when asked again.
+    let (mut t, id) = run(WhenUnsure::Refuse, Some(Ruling::Unseen), false);
+    t.questioned(1, id, Ruling::Allowed);
+    t.kept();
+    let mut denied = Told::new();
+    denied.needs_consent("quote", WhenUnsure::Refuse);
+    let id = denied.sent(0, QUOTE);
+    denied.questioned(1, id, Ruling::Denied);
+    denied.answered(2, id, 403);
+    let counts = denied.kept().counts;
+    assert_eq!((counts.denied, counts.questions, counts.failed), (1, 1, 0));
+}
+
 #[test]
 fn a_resend_takes_no_units_and_a_cap_at_once_has_its_slack() {
     let mut t = Told::new();
--- a/crates/rehearsal/tests/nodes.rs
+++ b/crates/rehearsal/tests/nodes.rs
@@ -43,6 +43,7 @@
         tries: vec![Try { place: 0, backoff: 0 }; 3],
         heeds: true,
         leaves: None,
+        permission: None,
     };
     let schedule = Schedule {
         seed: 1,
--- a/crates/rehearsal/tests/scenarios.rs
+++ b/crates/rehearsal/tests/scenarios.rs
@@ -2,7 +2,7 @@
 mod common;
 
 use common::{root, small, SMALL};
-use liftrouter_rehearsal::scenario::{Kind, Scenario, KINDS};
+use liftrouter_rehearsal::scenario::{Kind, Scenario, WhenUnsure, KINDS};
 
 fn problems(text: &str) -> Vec<String> {
     let problems = Scenario::parse("s.toml", text).expect_err("it cannot be played");
@@ -30,12 +30,61 @@
         carnival.faults.iter().filter_map(|f| Kind::named(f.get_ref().what.get_ref())).collect();
     // These are none of the record: the kit's own failure, and what happens to files that the platform has not.
     let others = [Kind::StandInPanics, Kind::ListDrains, Kind::FileDamaged, Kind::FileMissing];
+    let others: Vec<Kind> = others.into_iter().chain(OF_AUTHORISATION).collect();
     for about in KINDS.iter().filter(|a| !others.contains(&a.kind)) {
         assert!(kinds.contains(&about.kind), "{} is missing", about.name);
     }
     assert_eq!(carnival.length_s, 600.0);
 }
 
+const OF_AUTHORISATION: [Kind; 6] = [
+    Kind::AuthoriserSilent,
+    Kind::AuthoriserSlow,
+    Kind::AuthoriserRefusing,
+    Kind::AuthoriserRubbish,
+    Kind::AuthoriserGoaway,
+    Kind::ResetFlood,
+];
+
+#[test]
+fn authz_mixes_both_fronts_with_every_failure_of_authorisation_and_a_restart() {
+    let authz = Scenario::read(&root().join("scenarios/authz.toml")).expect("it can be played");
+    let kinds: Vec<_> = authz.faults.iter().filter_map(|f| Kind::named(f.get_ref().what.get_ref())).collect();
+    for kind in OF_AUTHORISATION.into_iter().chain([Kind::LimiterKilled, Kind::LimiterTerminated]) {
+        assert!(kinds.contains(&kind), "{} is missing", kind.about().name);
+    }
+    assert!(authz.load.permissions > 0.0 && authz.load.permissions < 1.0 && authz.load.resets > 0.0);
+    let whens: Vec<_> = authz.authoriser.expect("an authoriser").classes.into_values().collect();
+    assert!(whens.contains(&WhenUnsure::Pass) && whens.contains(&WhenUnsure::Refuse));
+}
+
+#[test]
+fn what_authorisation_needs_is_said_with_its_place() {
+    let line = SMALL.lines().count() + 3;
+    for (lines, expected) in [
+        (
+            "[authoriser]\nclasses = { qoute = \"pass\" }\n",
+            "classes has \"qoute\", expected one of quote, bind, once",
+        ),
+        ("[authoriser]\nclasses = { quote = \"open\" }\n", "expected `pass` or `refuse`"),
+        ("[authoriser]\ndeny = 1.5\n", "deny is 1.5, expected a number from 0 to 1"),
+        (
+            "[[fault]]\nwhat = \"authoriser-silent\"\nat_s = 1.0\nfor_s = 1.0\n",
+            "authoriser-silent without an authoriser",
+        ),
+        ("[[fault]]\nwhat = \"reset-flood\"\nat_s = 1.0\nfor_s = 1.0\n", "reset-flood without a gRPC front"),
+        (
+            "[[fault]]\nwhat = \"link-cut\"\npeer = \"authoriser\"\nat_s = 1.0\nfor_s = 1.0\n",
+            "peer is \"authoriser\", expected one of keeper, list, s-0, s-1",
+        ),
+    ] {
+        let problems = Scenario::parse("s.toml", &format!("{SMALL}\n{lines}")).expect_err(lines);
+        let found = problems[0].to_string();
+        assert!(found.contains(expected), "{found:?} holds no {expected:?}");
+        assert!(problems[0].at.is_some_and(|(at, _)| at >= line - 1), "{found}");
+    }
+}
+
 #[test]
 fn a_fault_names_its_line_what_was_found_and_what_was_expected() {
     let fault = |lines: &str| format!("{SMALL}\n[[fault]]\n{lines}\n");
