Measure external authorisation; bounds of the gRPC front tested to a thousand streams

Need: figures for decisions over gRPC against HTTP/1.1, for memory with many streams and for floods of resets.

Change: liftrouter-rehearse measure authz. Two more tests at the frame level. The first form of the memory measurement held nothing: h2 closes a connection that sends many small data frames, and the figure did not say so; now the answers of all streams are counted. That bound of h2's is a test now (a question in crumbs).

--- a/crates/daemon/tests/grpc_limits.rs
+++ b/crates/daemon/tests/grpc_limits.rs
@@ -246,3 +246,35 @@
     assert_ne!(code(&end), NO_ERROR);
     serves(&limiter, address);
 }
+
+#[test]
+fn a_thousand_streams_may_be_open_on_one_connection() {
+    let (limiter, address) = limiter("streams = 1000\n");
+    let mut raw = Raw::new(address, &[]);
+    let streams = (0..1_000u32).map(|n| 2 * n + 1);
+    let heads = |stream| raw_frame(HEADERS, END_HEADERS, stream, &call_headers(CHECK));
+    assert!(raw.write(&streams.clone().flat_map(heads).collect::<Vec<u8>>()));
+    serves(&limiter, address);
+    for stream in streams {
+        raw.send(DATA, END_STREAM, stream, b"x");
+    }
+    let ended = std::iter::from_fn(|| raw.next()).filter(|f| f.kind == HEADERS && f.flags & END_STREAM != 0);
+    assert_eq!(ended.take(1_000).count(), 1_000);
+}
+
+#[test]
+fn a_question_in_crumbs_ends_its_connection() {
+    let (limiter, address) = limiter("");
+    let mut raw = Raw::new(address, &[]);
+    let q = frame(&roomy());
+    // Each byte in a frame of its own, over and over: work for us, next to none for the sender.
+    for n in 0..200 {
+        let stream = 2 * n + 1;
+        raw.head(stream);
+        if !q.iter().all(|byte| raw.send(DATA, 0, stream, std::slice::from_ref(byte))) {
+            break;
+        }
+    }
+    assert!(raw.closed());
+    serves(&limiter, address);
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod history;
 pub mod ledger;
 pub mod measure;
+pub mod measure_authz;
 pub mod net;
 pub mod rehearsal;
 pub mod report;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -1,15 +1,15 @@
 //! `liftrouter-rehearse`: rehearses failures of a whole installation on one machine.
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use indicatif::{ProgressBar, ProgressStyle};
 use liftrouter_rehearsal::history::Recorder;
-use liftrouter_rehearsal::measure;
 use liftrouter_rehearsal::net::link::{Link, Reserved};
 use liftrouter_rehearsal::rehearsal::{rehearse, scratch, Options, Progress};
 use liftrouter_rehearsal::report::{page, summary, Report};
 use liftrouter_rehearsal::scenario::{Scenario, KINDS};
 use liftrouter_rehearsal::schedule::{draw, seconds};
 use liftrouter_rehearsal::standin::{keeper::Keeper, list, list::List, nodes::Fleet, proxy};
+use liftrouter_rehearsal::{measure, measure_authz};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command as Process, ExitCode};
@@ -51,6 +51,9 @@
     StandIn(StandIn),
     /// Measures what the kit can offer, and liftrouter against a bare proxy.
     Measure {
+        /// What is measured.
+        #[arg(value_enum, default_value_t = Subject::Kit)]
+        subject: Subject,
         /// Seconds for each step.
         #[arg(long, default_value_t = 4.0)]
         seconds: f64,
@@ -60,6 +63,14 @@
     },
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+enum Subject {
+    /// What the kit can offer and judge, and liftrouter against a bare proxy.
+    Kit,
+    /// External authorisation: gRPC against HTTP/1.1, memory with many streams, floods of resets.
+    Authz,
+}
+
 #[derive(Args)]
 struct Run {
     /// The scenario file.
@@ -119,7 +130,7 @@
         Command::List { folder } => list_scenarios(&folder),
         Command::StandIn(StandIn::Proxy) => proxy::run().map(|()| 0),
         Command::StandIn(stand_in) => start(stand_in).map(|()| 0),
-        Command::Measure { seconds, run } => measure_all(seconds, run),
+        Command::Measure { subject, seconds, run } => measure_all(subject, seconds, run),
     };
     ExitCode::from(done.unwrap_or_else(|fault| {
         eprintln!("liftrouter-rehearse: {fault}");
@@ -360,14 +371,19 @@
     tokio::signal::ctrl_c().await.map_err(|e| e.to_string())
 }
 
-fn measure_all(seconds: f64, run: Option<String>) -> Result<u8, String> {
+fn measure_all(subject: Subject, seconds: f64, run: Option<String>) -> Result<u8, String> {
     let daemon = match run {
         Some(command) => command,
         None => daemon()?,
     };
     let exe = std::env::current_exe().map_err(|e| e.to_string())?;
     let bare = format!("'{}' stand-in proxy", exe.display());
-    let text = runtime()?.block_on(measure::all(&daemon, &bare, seconds));
+    let text = runtime()?.block_on(async {
+        match subject {
+            Subject::Kit => measure::all(&daemon, &bare, seconds).await,
+            Subject::Authz => measure_authz::all(&daemon, seconds).await,
+        }
+    });
     print!("{}", text.map_err(|e| format!("cannot be measured: {e}"))?);
     Ok(0)
 }
--- a/crates/rehearsal/src/measure.rs
+++ b/crates/rehearsal/src/measure.rs
@@ -34,7 +34,7 @@
     parsed.map_err(|p| io::Error::other(p.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")))
 }
 
-fn options(commands: Vec<String>) -> io::Result<(Options, watch::Sender<bool>)> {
+pub(crate) fn options(commands: Vec<String>) -> io::Result<(Options, watch::Sender<bool>)> {
     let (hold, interrupted) = watch::channel(false);
     Ok((Options { seed: 1, commands, folder: scratch()?, trouble: Arc::default(), interrupted }, hold))
 }
@@ -198,7 +198,7 @@
 }
 
 /// The median, the least and the most.
-fn middle(all: &[f64]) -> (f64, f64, f64) {
+pub(crate) fn middle(all: &[f64]) -> (f64, f64, f64) {
     let mut sorted = all.to_vec();
     sorted.sort_by(f64::total_cmp);
     let at = |n: usize| sorted.get(n).copied().unwrap_or(f64::NAN);
