--- a/crates/daemon/tests/authoriser.rs
+++ b/crates/daemon/tests/authoriser.rs
@@ -442,3 +442,38 @@
     assert_eq!(statuses[..4], [200; 4]);
     assert!(statuses[4..].contains(&429), "{statuses:?}");
 }
+
+#[test]
+fn a_connection_that_has_gone_silent_is_given_up() {
+    // The first connection takes everything and says nothing, like one whose other end vanished.
+    let authoriser = FakeAuthoriser::new(|put| {
+        let says = put.connection > 0;
+        says.then(|| Say::Write(answer(put.stream, &yes()))).into_iter().collect()
+    });
+    let server = server();
+    let limiter = limiter(&authoriser, "timeout_ms = 50\nfailures = 1000\n", &server);
+    let mut client = limiter.client();
+    wait_until("another connection is used", || client.ask(&post("bind", "{}")).status() == 200);
+    assert!(authoriser.connections() >= 2);
+}
+
+#[test]
+fn at_its_end_the_limiter_waits_for_an_authoriser_that_thinks() {
+    let authoriser = FakeAuthoriser::new(|put| {
+        vec![Say::Wait(Duration::from_millis(900)), Say::Write(answer(put.stream, &yes()))]
+    });
+    let server = server();
+    let text =
+        format!("[grpc]\nlisten = '127.0.0.1:0'\n{}", asking(authoriser.address, "timeout_ms = 5000\n"));
+    let mut limiter = Limiter::with_operator_text(&text, settings(), &[&server]);
+    let mut raw = Raw::new(limiter.grpc.expect("a front"), &[]);
+    let mut client = limiter.client();
+    client.send(&quote("roomy", 9_000));
+    raw.ask(1, &question("bind", "roomy", 1));
+    wait_until("one is asked", || authoriser.count() >= 1);
+    limiter.terminate();
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    let trailers = |f: &RawFrame| f.kind == HEADERS && f.flags & END_STREAM != 0 && f.stream == 1;
+    assert!(raw.until(trailers).is_some());
+    assert!(limiter.wait().success());
+}
--- a/crates/daemon/tests/grpc.rs
+++ b/crates/daemon/tests/grpc.rs
@@ -285,3 +285,18 @@
     assert_eq!(ended, [3, 5], "both calls were answered");
     assert!(limiter.wait().success());
 }
+
+#[test]
+fn a_limiter_that_is_too_busy_says_so() {
+    let server = Fake::new(|_| Reply::Silence);
+    let mut busy = settings();
+    busy["limits"]["max-open"] = json!(1);
+    let (limiter, caller) = front("", busy, &[&server]);
+    let mut client = limiter.client();
+    client.send(&quote("roomy", 60_000));
+    wait_until("a request is out", || server.count() == 1);
+    let called = caller.ask(&question("quote", "roomy", 1));
+    assert_eq!((called.status, called.message.as_str()), (Some(8), "too many requests are open"));
+    client.close();
+    wait_until("there is room", || caller.ask(&question("quote", "roomy", 1)).status == Some(0));
+}
--- a/crates/daemon/tests/grpc_limits.rs
+++ b/crates/daemon/tests/grpc_limits.rs
@@ -278,3 +278,38 @@
     assert!(raw.closed());
     serves(&limiter, address);
 }
+
+#[test]
+fn no_frames_at_random_panic() {
+    let (limiter, address) = limiter("resets_per_s = 100000\ncontrol_per_s = 100000\n");
+    let mut seed = 0x9e37_79b9_7f4a_7c15_u64;
+    let mut draw = move |below: u64| {
+        seed ^= seed << 13;
+        seed ^= seed >> 7;
+        seed ^= seed << 17;
+        seed % below
+    };
+    let q = frame(&roomy());
+    for _ in 0..300 {
+        let mut raw = Raw::new(address, &[]);
+        let mut bytes = Vec::new();
+        for _ in 0..draw(30) {
+            let stream = draw(8) as u32;
+            let mut payload = match draw(4) {
+                0 => call_headers(CHECK),
+                1 => q.to_vec(),
+                2 => draw(u64::MAX).to_be_bytes()[..draw(9) as usize].to_vec(),
+                _ => Vec::new(),
+            };
+            if draw(4) == 0 && !payload.is_empty() {
+                let at = draw(payload.len() as u64) as usize;
+                payload[at] = draw(256) as u8;
+            }
+            bytes.extend(raw_frame(draw(11) as u8, draw(256) as u8, stream, &payload));
+        }
+        raw.write(&bytes);
+    }
+    // A panic ends the process.
+    serves(&limiter, address);
+    assert!(!limiter.errors().contains("panicked"), "{}", limiter.errors());
+}
