--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -6,9 +6,11 @@
 use liftrouter_rehearsal::net::link::{Link, Reserved};
 use liftrouter_rehearsal::rehearsal::{rehearse, scratch, Options, Progress};
 use liftrouter_rehearsal::report::{page, summary, Report};
-use liftrouter_rehearsal::scenario::{Scenario, KINDS};
+use liftrouter_rehearsal::scenario::{self, Scenario, KINDS};
 use liftrouter_rehearsal::schedule::{draw, seconds};
-use liftrouter_rehearsal::standin::{keeper::Keeper, list, list::List, nodes::Fleet, proxy};
+use liftrouter_rehearsal::standin::{
+    authoriser::Authoriser, keeper::Keeper, list, list::List, nodes::Fleet, proxy,
+};
 use liftrouter_rehearsal::{measure, measure_authz};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -119,6 +121,15 @@
         #[arg(required = true)]
         nodes: Vec<SocketAddr>,
     },
+    /// An authoriser that answers every question.
+    Authoriser {
+        /// Where it listens.
+        #[arg(long, default_value = "127.0.0.1:9002")]
+        listen: SocketAddr,
+        /// Share of the tries that it denies, 0 to 1.
+        #[arg(long, default_value_t = 0.0)]
+        deny: f64,
+    },
     /// A bare proxy that keeps the deployment's contract and no rule.
     Proxy,
 }
@@ -362,6 +373,14 @@
                 println!("the list listens on {at}");
                 wait().await
             }
+            StandIn::Authoriser { listen, deny } => {
+                let figures = scenario::Authoriser { deny, ..scenario::Authoriser::default() };
+                let reserved = Reserved::at(listen).map_err(taken(listen))?;
+                let authoriser = Authoriser::new(figures, recorder);
+                let at = authoriser.serve_at(0, Link::new(), reserved).map_err(taken(listen))?;
+                println!("the authoriser listens on {at}");
+                wait().await
+            }
             StandIn::Proxy => Ok(()),
         }
     })
--- a/crates/rehearsal/tests/whole.rs
+++ b/crates/rehearsal/tests/whole.rs
@@ -98,6 +98,103 @@
     assert_eq!(drawn(0), drawn(1));
 }
 
+/// Both fronts, an authoriser that fails in every way that it has, and a limiter that is restarted.
+const BOTH_FRONTS: &str = r#"
+name = "both-fronts"
+about = "permissions and requests, a failing authoriser, a restart"
+seed = 5
+length_s = 7.0
+limiters.count = 2
+nodes.count = 4
+load.tries_per_s = 60.0
+load.permissions = 0.5
+load.resets = 0.2
+
+[authoriser]
+classes = { quote = "pass", bind = "refuse" }
+deny = 0.1
+
+[[class]]
+name = "quote"
+share = 0.6
+work_ms = 30.0
+aim_ms = 500.0
+deadline_ms = 2000.0
+worth = 2.0
+effect = "safe"
+
+[[class]]
+name = "bind"
+share = 0.4
+work_ms = 30.0
+aim_ms = 500.0
+deadline_ms = 2000.0
+worth = 5.0
+effect = "keyed"
+
+[[plan]]
+name = "agency"
+share = 1.0
+rate = 6.0
+burst_s = 4.0
+price = 1.0
+open = 4
+ceiling = 2.0
+
+[[fault]]
+what = "authoriser-goaway"
+at_s = 0.5
+for_s = 1.0
+
+[[fault]]
+what = "authoriser-silent"
+at_s = 2.0
+for_s = 1.5
+
+[[fault]]
+what = "limiter-killed"
+victim = "n1"
+at_s = 2.5
+for_s = 0.5
+
+[[fault]]
+what = "authoriser-rubbish"
+at_s = 4.0
+for_s = 1.0
+
+[[fault]]
+what = "reset-flood"
+victim = "n0"
+at_s = 5.0
+for_s = 1.0
+size = 1000.0
+
+[[fault]]
+what = "authoriser-refusing"
+at_s = 6.0
+for_s = 0.5
+"#;
+
+#[test]
+fn both_fronts_keep_the_rules_while_the_authoriser_fails() {
+    let folder = scratch();
+    let scenario = folder.join("both.toml");
+    std::fs::write(&scenario, BOTH_FRONTS).expect("write");
+    let (output, report) = run(&scenario, &folder, &[]);
+    let said = text(&output.stdout);
+    if report["verdict"] == "unjudged" && report["unjudged"].as_str().is_some_and(|w| w.contains("busy")) {
+        return eprintln!("too busy to judge: {said}");
+    }
+    assert_eq!(output.status.code(), Some(0), "{said}\n{}", text(&output.stderr));
+    let count = |name: &str| report["counts"][name].as_u64().unwrap_or_default();
+    for name in ["permissions", "permitted", "questions", "denied", "left", "attempts", "refused"] {
+        assert!(count(name) > 0, "{name}: {said}");
+    }
+    assert!(count("permitted") < count("permissions") && count("permissions") < count("tries"), "{said}");
+    assert_eq!(report["limiters"][1]["starts"], 2, "it was restarted in the midst");
+    assert!(limiters_are_gone(&folder));
+}
+
 #[test]
 fn a_limiter_that_keeps_no_rule_is_caught_with_its_proof() {
     let folder = scratch();
