Bound on permitted calls kept; a refused question does not cost its connection

Cause: permits were bounded by quotas and deadlines only, so a plan without a quota could fill the memory; and a REFUSED_STREAM dropped a connection that was good.

Change: 100,000 permits at most, beyond which permissions are refused and requests go on; refused streams and connections that take nothing more are told apart. Test: connections that come after SIGTERM are served.

--- a/crates/daemon/src/peers/authoriser.rs
+++ b/crates/daemon/src/peers/authoriser.rs
@@ -129,7 +129,9 @@
 
 /// Why a question has no answer.
 enum Fault {
-    /// Surely not seen: it may be asked again.
+    /// Surely not seen, for this stream was refused: it may be asked again.
+    Refused,
+    /// Surely not seen, for the connection takes nothing more: it may be asked again over another.
     NotSeen,
     /// It may have been seen.
     Broken(String),
@@ -197,6 +199,7 @@
             silent.armed.set(false);
             match answer {
                 Ok(answer) => return verdict(answer),
+                Err(Fault::Refused) => {}
                 Err(Fault::NotSeen) => self.drop_line(number),
                 Err(Fault::Broken(what)) => return Err(what),
             }
@@ -323,14 +326,13 @@
 /// Whether an error proves that the question was not seen: RFC 9113, 8.7.
 fn fault(error: &hyper::Error) -> Fault {
     let http2 = error.source().and_then(|source| source.downcast_ref::<h2::Error>());
-    let unseen = http2.is_some_and(|e| {
+    match http2 {
         // Of a peer's GOAWAY only those streams hear that lie above its last id.
-        e.is_remote() && (e.is_go_away() || e.reason() == Some(h2::Reason::REFUSED_STREAM))
-    });
-    if unseen {
-        return Fault::NotSeen;
+        Some(e) if e.is_remote() && e.is_go_away() => Fault::NotSeen,
+        Some(e) if e.is_remote() && e.reason() == Some(h2::Reason::REFUSED_STREAM) => Fault::Refused,
+        Some(e) => Fault::Broken(e.to_string()),
+        None => Fault::Broken(error.to_string()),
     }
-    Fault::Broken(http2.map_or_else(|| error.to_string(), ToString::to_string))
 }
 
 fn message(asked: &Asked, body: Bytes, via: &str, until: Instant) -> Request<Full<Bytes>> {
--- a/crates/daemon/tests/authoriser.rs
+++ b/crates/daemon/tests/authoriser.rs
@@ -230,11 +230,11 @@
     let above = FakeAuthoriser::new(|put| {
         vec![Say::Write(if put.number == 0 { goaway(0) } else { answer(put.stream, &yes()) })]
     });
-    for authoriser in [refused, above] {
+    for (authoriser, connections) in [(refused, 1), (above, 2)] {
         let server = server();
         let limiter = limiter(&authoriser, "timeout_ms = 5000\n", &server);
         assert_eq!(limiter.client().ask(&post("bind", "{}")).status(), 200);
-        assert_eq!(authoriser.count(), 2);
+        assert_eq!((authoriser.count(), authoriser.connections()), (2, connections));
     }
 }
 
--- a/crates/daemon/tests/grpc.rs
+++ b/crates/daemon/tests/grpc.rs
@@ -262,6 +262,10 @@
     early.head(3);
     early.send(DATA, 0, 3, &q[..7]);
     limiter.terminate();
+    // For a moment connections still come: what they bring is answered, and they are sent away.
+    let mut late = Raw::new(address, &[]);
+    late.ask(1, &question("quote", "roomy", 1));
+    assert!(late.until(|f| f.kind == HEADERS && f.flags & END_STREAM != 0).is_some());
     let goaway = early.until(|f| f.kind == GOAWAY).expect("GOAWAY");
     // The first names the highest number, so that calls on their way are not lost (RFC 9113, 6.8), and the
     // code is NO_ERROR.
--- a/crates/decision/src/policy/life.rs
+++ b/crates/decision/src/policy/life.rs
@@ -17,6 +17,8 @@
 /// A class's mean answer before any is measured, in aims.
 const FIRST_MEAN: f64 = 0.2;
 const MEAN_GAIN: f64 = 0.02;
+/// Permitted calls that are kept as out, at most: each takes a hundred bytes or so, whoever asks.
+const MOST_PERMITS: usize = 100_000;
 /// How far a full fleet sheds classes of less worth.
 const SHED: f64 = 4.0;
 
@@ -122,7 +124,8 @@
         let value = |n: usize| set.classes[n].worth / self.means[n].max(1e-6);
         let best = (0..self.means.len()).map(value).fold(0.0, f64::max);
         let yields = SHED * press * (1.0 - value(class) / best.max(1e-9)) > self.rng.f64();
-        let denied = yields || self.quota.capped(set, key);
+        let over = permission && self.permits.len() >= MOST_PERMITS;
+        let denied = yields || over || self.quota.capped(set, key);
         let server = if denied { None } else { self.fleet.choose(view, &open.wanted(set), draw) };
         let Some(server) = server else { return self.refuse(view, r.id, 0.0, out) };
         self.quota.take(key, units);
--- a/crates/decision/tests/permission.rs
+++ b/crates/decision/tests/permission.rs
@@ -131,3 +131,18 @@
     h.event(Event::ServerList(vec![server(A, "east", ServerState::InService, None)]));
     assert!((2..=11).all(|id| permitted(&mut h, id, "plain", 1.0)));
 }
+
+#[test]
+fn no_more_permitted_calls_are_kept_than_memory_allows() {
+    let mut h = Host::new(settings());
+    // Plan `free` has no quota at all.
+    for id in 1..=100_000 {
+        assert!(permitted(&mut h, id, "free", 1.0), "{id}");
+    }
+    assert!(!permitted(&mut h, 100_001, "free", 1.0));
+    // Requests go on, and so do permissions once one is over.
+    let r = request(&h, 100_002, "free", 1.0);
+    assert!(h.event(Event::Request(r)).iter().any(|a| matches!(a, Action::Send { .. })));
+    h.event(Event::ClientGone { id: 7 });
+    assert!(permitted(&mut h, 100_003, "free", 1.0));
+}
