Authorisers may set headers of the answer too; the check of a question cut in two

Change: the headers are set on the answer, or passed on to a platform; checked() holds the checks; the time that a permitted call is out is an hour at most.

--- a/crates/authz/src/check.rs
+++ b/crates/authz/src/check.rs
@@ -5,7 +5,7 @@
 use crate::messages::envoy::config::core::v3::{HeaderValue, HeaderValueOption};
 use crate::messages::envoy::r#type::v3::HttpStatus;
 use crate::messages::envoy::service::auth::v3::check_response::HttpResponse;
-use crate::messages::envoy::service::auth::v3::{CheckResponse, DeniedHttpResponse, OkHttpResponse};
+use crate::messages::envoy::service::auth::v3::{CheckResponse, DeniedHttpResponse};
 use crate::messages::google::rpc;
 use crate::status::Code;
 
@@ -35,9 +35,8 @@
 
 /// The call may be made, with the changes that an authoriser wants and then these headers set on it.
 pub fn permitted(changes: &Changes, own: Own, headers: Vec<(String, String)>) -> CheckResponse {
-    let (mut set, headers_to_remove) = changes.pass_on(own);
-    set.extend(options(headers));
-    let ok = OkHttpResponse { headers: set, headers_to_remove, ..OkHttpResponse::default() };
+    let mut ok = changes.pass_on(own);
+    ok.headers.extend(options(headers));
     CheckResponse {
         status: Some(rpc::Status { code: Code::Ok as i32, message: String::new() }),
         http_response: Some(HttpResponse::OkResponse(ok)),
--- a/crates/authz/src/headers.rs
+++ b/crates/authz/src/headers.rs
@@ -37,11 +37,78 @@
     !own.contains(name) && !is_hop(name.as_str())
 }
 
+/// A header that is set, and how.
+type Set = (HeaderName, HeaderValue, Action);
+
 /// Changes to headers, in the order in which they are made: removed first, as the protocol has it, then set.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Changes {
     remove: Vec<HeaderName>,
-    set: Vec<(HeaderName, HeaderValue, Action)>,
+    set: Vec<Set>,
+    /// Set on the answer to the client.
+    answer: Vec<Set>,
+}
+
+fn name(text: &str) -> Result<HeaderName, String> {
+    // Pseudo-headers begin with a colon, which no name may hold.
+    HeaderName::from_bytes(text.as_bytes()).map_err(|_| format!("{text:?}, expected a header's name"))
+}
+
+fn read_set(option: HeaderValueOption) -> Result<Option<Set>, String> {
+    let header = option.header.as_ref().ok_or("a header without name and value, expected both")?;
+    let key = name(&header.key)?;
+    let raw = if header.value.is_empty() { &header.raw_value } else { header.value.as_bytes() };
+    if raw.is_empty() && !option.keep_empty_value {
+        return Ok(None);
+    }
+    let value = HeaderValue::from_bytes(raw)
+        .map_err(|_| format!("the value of {key} holds bytes that no header may"))?;
+    // The older field wins where it is there. Neither given means to overwrite: the protocol says of both
+    // lists that `append` is false by default, whatever the newer field's zero says.
+    let action = match (option.append, option.append_action()) {
+        (Some(true), _) => Action::AppendIfExistsOrAdd,
+        (Some(false) | None, Action::AppendIfExistsOrAdd) => Action::OverwriteIfExistsOrAdd,
+        (_, action) => action,
+    };
+    Ok(Some((key, value, action)))
+}
+
+fn read_all(options: Vec<HeaderValueOption>) -> Result<Vec<Set>, String> {
+    options.into_iter().filter_map(|option| read_set(option).transpose()).collect()
+}
+
+fn option((name, value, action): &Set) -> HeaderValueOption {
+    HeaderValueOption {
+        header: Some(Pair {
+            key: name.to_string(),
+            value: String::new(),
+            raw_value: value.as_bytes().to_vec(),
+        }),
+        append: match action {
+            Action::AppendIfExistsOrAdd => Some(true),
+            Action::OverwriteIfExistsOrAdd => Some(false),
+            Action::AddIfAbsent | Action::OverwriteIfExists => None,
+        },
+        append_action: (*action).into(),
+        keep_empty_value: value.is_empty(),
+    }
+}
+
+/// Sets those that are free; the others come into `left`.
+fn set_all(sets: &[Set], headers: &mut HeaderMap, own: Own, left: &mut Vec<HeaderName>) {
+    for (name, value, action) in sets {
+        if !is_free(name, own) {
+            left.push(name.clone());
+            continue;
+        }
+        let there = headers.contains_key(name);
+        match action {
+            Action::AppendIfExistsOrAdd => drop(headers.append(name, value.clone())),
+            Action::AddIfAbsent if there => {}
+            Action::OverwriteIfExists if !there => {}
+            _ => drop(headers.insert(name, value.clone())),
+        }
+    }
 }
 
 impl Changes {
@@ -51,95 +118,55 @@
     /// # Errors
     /// What was found and what was expected.
     pub fn read(ok: OkHttpResponse) -> Result<Changes, String> {
-        let count = ok.headers.len() + ok.headers_to_remove.len();
+        let sets = || ok.headers.iter().chain(&ok.response_headers_to_add);
+        let count = sets().count() + ok.headers_to_remove.len();
         if count > MOST {
             return Err(format!("{count} headers, expected {MOST} at most"));
         }
         let pair = |h: &HeaderValueOption| {
             h.header.as_ref().map_or(0, |h| h.key.len() + h.value.len() + h.raw_value.len())
         };
-        let bytes = ok.headers.iter().map(pair).sum::<usize>();
+        let bytes = sets().map(pair).sum::<usize>();
         if bytes > MOST_BYTES {
             return Err(format!("headers of {bytes} bytes, expected {MOST_BYTES} at most"));
         }
-        let name = |text: &str| {
-            // Pseudo-headers begin with a colon, which no name may hold.
-            HeaderName::from_bytes(text.as_bytes()).map_err(|_| format!("{text:?}, expected a header's name"))
-        };
-        let remove = ok.headers_to_remove.iter().map(|text| name(text)).collect::<Result<_, _>>()?;
-        let mut set = Vec::with_capacity(ok.headers.len());
-        for option in ok.headers {
-            let header = option.header.as_ref().ok_or("a header without name and value, expected both")?;
-            let key = name(&header.key)?;
-            let raw = if header.value.is_empty() { &header.raw_value } else { header.value.as_bytes() };
-            if raw.is_empty() && !option.keep_empty_value {
-                continue;
-            }
-            let value = HeaderValue::from_bytes(raw)
-                .map_err(|_| format!("the value of {key} holds bytes that no header may"))?;
-            // The older field wins where it is there. Neither given means to overwrite: for headers of a
-            // request the protocol says so of `append`, whatever the newer field's zero says.
-            let action = match (option.append, option.append_action()) {
-                (Some(true), _) => Action::AppendIfExistsOrAdd,
-                (Some(false), Action::AppendIfExistsOrAdd) | (None, Action::AppendIfExistsOrAdd) => {
-                    Action::OverwriteIfExistsOrAdd
-                }
-                (_, action) => action,
-            };
-            set.push((key, value, action));
-        }
-        Ok(Changes { remove, set })
+        Ok(Changes {
+            remove: ok.headers_to_remove.iter().map(|text| name(text)).collect::<Result<_, _>>()?,
+            set: read_all(ok.headers)?,
+            answer: read_all(ok.response_headers_to_add)?,
+        })
     }
 
     /// The same changes for a further reader, but for the `own` headers and those of one hop.
-    pub fn pass_on(&self, own: Own) -> (Vec<HeaderValueOption>, Vec<String>) {
-        let option = |(name, value, action): &(HeaderName, HeaderValue, Action)| HeaderValueOption {
-            header: Some(Pair {
-                key: name.to_string(),
-                value: String::new(),
-                raw_value: value.as_bytes().to_vec(),
-            }),
-            append: match action {
-                Action::AppendIfExistsOrAdd => Some(true),
-                Action::OverwriteIfExistsOrAdd => Some(false),
-                Action::AddIfAbsent | Action::OverwriteIfExists => None,
-            },
-            append_action: (*action).into(),
-            keep_empty_value: value.is_empty(),
-        };
-        let set = self.set.iter().filter(|(name, ..)| is_free(name, own)).map(option);
+    pub fn pass_on(&self, own: Own) -> OkHttpResponse {
+        let free = |sets: &[Set]| sets.iter().filter(|(name, ..)| is_free(name, own)).map(option).collect();
         let remove = self.remove.iter().filter(|name| is_free(name, own)).map(ToString::to_string);
-        (set.collect(), remove.collect())
+        OkHttpResponse {
+            headers: free(&self.set),
+            headers_to_remove: remove.collect(),
+            response_headers_to_add: free(&self.answer),
+        }
     }
 
-    /// Makes them, but for the limiter's `own` headers and those of one hop; gives the names that were left
-    /// alone.
+    /// Makes them on a request, but for the limiter's `own` headers and those of one hop; gives the names that
+    /// were left alone.
     pub fn apply(&self, headers: &mut HeaderMap, own: Own) -> Vec<HeaderName> {
         let mut left = Vec::new();
-        let mut free = |name: &HeaderName| {
-            let free = is_free(name, own);
-            if !free {
-                left.push(name.clone());
-            }
-            free
-        };
-        for name in self.remove.iter() {
-            if free(name) {
+        for name in &self.remove {
+            if is_free(name, own) {
                 headers.remove(name);
+            } else {
+                left.push(name.clone());
             }
         }
-        for (name, value, action) in &self.set {
-            if !free(name) {
-                continue;
-            }
-            let there = headers.contains_key(name);
-            match action {
-                Action::AppendIfExistsOrAdd => drop(headers.append(name, value.clone())),
-                Action::AddIfAbsent if there => {}
-                Action::OverwriteIfExists if !there => {}
-                _ => drop(headers.insert(name, value.clone())),
-            }
-        }
+        set_all(&self.set, headers, own, &mut left);
+        left
+    }
+
+    /// Sets those meant for the answer to the client, within the same bounds.
+    pub fn apply_to_answer(&self, headers: &mut HeaderMap, own: Own) -> Vec<HeaderName> {
+        let mut left = Vec::new();
+        set_all(&self.answer, headers, own, &mut left);
         left
     }
 }
--- a/crates/authz/tests/answers.rs
+++ b/crates/authz/tests/answers.rs
@@ -69,6 +69,30 @@
     assert_eq!(after(ok(vec![option("x-a", "2", Some(true), 0)], &["x-a"]), before).0, ["x-a: 2"]);
 }
 
+#[test]
+fn headers_for_the_answer_are_set_on_the_answer_alone() {
+    let ok = OkHttpResponse {
+        response_headers_to_add: vec![
+            option("x-a", "2", Some(true), 0),
+            option("x-b", "2", None, 0),
+            option("retry-after", "2", None, 0),
+            option("connection", "close", None, 0),
+        ],
+        ..OkHttpResponse::default()
+    };
+    let response = answer(0, Some(HttpResponse::OkResponse(ok)));
+    assert_eq!(after(response.clone(), &[("x-a", "1")]).0, ["x-a: 1"]);
+    let Ok(Verdict::Allow(changes)) = verdict(response) else { panic!("not allowed") };
+    let mut headers = HeaderMap::new();
+    headers.insert("x-a", HeaderValue::from_static("1"));
+    let left = changes.apply_to_answer(&mut headers, &[http::header::RETRY_AFTER]);
+    assert_eq!(left, ["retry-after", "connection"]);
+    let all: Vec<_> = headers.iter().map(|(n, v)| format!("{n}: {}", v.to_str().unwrap_or("?"))).collect();
+    assert_eq!(all, ["x-a: 1", "x-a: 2", "x-b: 2"]);
+    // And for a platform that asked the limiter, they are passed on.
+    assert_eq!(changes.pass_on(&[]).response_headers_to_add.len(), 3);
+}
+
 #[test]
 fn the_limiters_own_headers_and_those_of_one_hop_are_left_alone() {
     let names = ["x-correlation-id", "host", "content-length", "transfer-encoding", "connection"];
--- a/crates/daemon/src/fronts/grpc/call.rs
+++ b/crates/daemon/src/fronts/grpc/call.rs
@@ -18,10 +18,10 @@
 use liftrouter_authz::messages::grpc::health::v1::{HealthCheckRequest, HealthCheckResponse};
 use liftrouter_authz::messages::grpc::reflection::v1::ServerReflectionRequest;
 use liftrouter_authz::{
-    denied, frame, permitted, read_timeout, reflect, Code, Denial, Message, Splitter, Status, Unary,
+    denied, frame, permitted, read_timeout, reflect, Asked, Code, Denial, Message, Splitter, Status, Unary,
     WrongFrame, AUTHORIZATION, HEALTH, REFLECTION, SERVICES,
 };
-use liftrouter_decision::Effect;
+use liftrouter_decision::{Effect, Settings};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -41,6 +41,8 @@
 const MOST_VIA: usize = 8;
 /// The longest that a call without a deadline of its own waits for its decision.
 const LONGEST: Duration = Duration::from_secs(10);
+/// The longest that a permitted call counts as out, whatever its class says.
+const LONGEST_CALL: Duration = Duration::from_secs(3_600);
 
 /// Answers a call. Dropped before, its stream was reset or its connection ended: with it goes whatever it
 /// waits for, and the module is told.
@@ -134,23 +136,18 @@
     Ok((message, held))
 }
 
-/// One question, one decision, one answer; with a permission, whoever is to be told that it never came.
-async fn check(
-    grpc: &Grpc,
-    headers: &HeaderMap,
-    body: Incoming,
-    came: Instant,
-) -> Result<(CheckResponse, Option<Gone>), Status> {
-    let due = deadline(headers, came)?;
-    let (question, _held) = read::<CheckRequest>(grpc, headers, body, due).await?;
-    let via = headers.get_all(VIA).iter().filter_map(|v| v.to_str().ok()).flat_map(|v| v.split(','));
-    let via: Vec<String> = via.map(|n| n.trim().to_string()).filter(|name| !name.is_empty()).collect();
-    if via.contains(&grpc.name) || via.len() > MOST_VIA {
-        // Asked about itself, the limiter would ask again for ever.
-        return Err(Status::new(Code::FailedPrecondition, "the question has come in a loop"));
-    }
-    let asked = grpc.mapping.read(&question).map_err(|missing| invalid(missing.to_string()))?;
-    let settings = &grpc.gate.settings;
+/// The parts of a question that are more than names.
+struct Checked {
+    id: HeaderValue,
+    customer: String,
+    units: f64,
+    width: u32,
+    /// How long the call may be out.
+    held: Duration,
+}
+
+/// Checks a question as the HTTP front checks a head.
+fn checked(asked: &Asked, settings: &Settings, hold: Option<Duration>) -> Result<Checked, Status> {
     let class = settings.classes.iter().find(|c| c.name == asked.class);
     let class = class.ok_or_else(|| invalid("the class is unknown"))?;
     let customer = fields::customer(&asked.customer).ok_or_else(|| invalid("the customer is malformed"))?;
@@ -162,20 +159,42 @@
     let width = read_number(&asked.width).and_then(|width| fields::width(width, settings));
     let width = width.ok_or_else(|| invalid("the width is malformed"))?;
     let id = Some(&asked.id).filter(|id| id.len() <= fields::MAX_ID);
-    let id =
-        id.and_then(|id| HeaderValue::from_str(id).ok()).ok_or_else(|| invalid("the id is malformed"))?;
+    let id = id.and_then(|id| HeaderValue::from_str(id).ok());
+    let id = id.ok_or_else(|| invalid("the id is malformed"))?;
     let key = asked.key.as_ref().filter(|key| key.len() <= fields::MAX_ID);
     if class.effect == Effect::Keyed && key.is_none() {
         return Err(invalid("the key is missing or malformed"));
     }
-    let whole = if class.deadline > 0.0 { Duration::from_secs_f64(class.deadline) } else { LONGEST };
     let time_left = match &asked.time_left {
         Some(text) => fields::time_left(text, class).ok_or_else(|| invalid("the time left is malformed"))?,
-        None => whole,
+        None if class.deadline > 0.0 => Duration::try_from_secs_f64(class.deadline).unwrap_or(LONGEST_CALL),
+        None => LONGEST,
     };
     if asked.add.iter().any(|(_, value)| HeaderValue::from_str(value).is_err()) {
         return Err(invalid("a header to add would be malformed"));
     }
+    let held = hold.map_or(time_left, |hold| hold.min(time_left)).min(LONGEST_CALL);
+    Ok(Checked { id, customer, units, width, held })
+}
+
+/// One question, one decision, one answer; with a permission, whoever is to be told that it never came.
+async fn check(
+    grpc: &Grpc,
+    headers: &HeaderMap,
+    body: Incoming,
+    came: Instant,
+) -> Result<(CheckResponse, Option<Gone>), Status> {
+    let due = deadline(headers, came)?;
+    let (question, _held) = read::<CheckRequest>(grpc, headers, body, due).await?;
+    let via = headers.get_all(VIA).iter().filter_map(|v| v.to_str().ok()).flat_map(|v| v.split(','));
+    let via: Vec<String> = via.map(|n| n.trim().to_string()).filter(|name| !name.is_empty()).collect();
+    if via.contains(&grpc.name) || via.len() > MOST_VIA {
+        // Asked about itself, the limiter would ask again for ever.
+        return Err(Status::new(Code::FailedPrecondition, "the question has come in a loop"));
+    }
+    let asked = grpc.mapping.read(&question).map_err(|missing| invalid(missing.to_string()))?;
+    let Checked { id, customer, units, width, held } =
+        checked(&asked, &grpc.gate.settings, grpc.limits.hold)?;
     if grpc.gate.is_full() {
         return Err(Status::new(Code::ResourceExhausted, "too many requests are open"));
     }
@@ -185,7 +204,6 @@
     if now >= due {
         return Err(too_late());
     }
-    let held = grpc.limits.hold.map_or(time_left, |hold| hold.min(time_left));
     let arrival = Arrival {
         customer,
         plan: asked.plan,
--- a/crates/daemon/src/fronts/http.rs
+++ b/crates/daemon/src/fronts/http.rs
@@ -316,7 +316,7 @@
         };
         let make = || question(&head, size);
         let asked = Question { make: &make, via: &[], due };
-        let (answer, _) = self.gate.ask(arrival, &asked).await;
+        let (answer, changes) = self.gate.ask(arrival, &asked).await;
         Ok(match answer {
             Answer::Served(answer) => {
                 let (head, body) = answer.into_parts();
@@ -324,6 +324,7 @@
                 if let Some(kind) = head.headers.get(CONTENT_TYPE) {
                     reply.headers_mut().insert(CONTENT_TYPE, kind.clone());
                 }
+                changes.apply_to_answer(reply.headers_mut(), &[RETRY_AFTER]);
                 reply
             }
             Answer::Refused(stay_away) => {
--- a/crates/daemon/tests/authoriser.rs
+++ b/crates/daemon/tests/authoriser.rs
@@ -71,13 +71,14 @@
             option("x-settled", "evil", true),
         ],
         headers_to_remove: vec!["x-time-left".into(), "x-correlation-id".into()],
-        ..OkHttpResponse::default()
+        response_headers_to_add: vec![option("x-risk", "told", false), option("retry-after", "9", false)],
     };
     let authoriser = always(response(0, Some(HttpResponse::OkResponse(ok))));
     let server = server();
     let limiter = limiter(&authoriser, "", &server);
     let answer = limiter.client().ask(&post("bind", "{}"));
-    assert_eq!(answer.status(), 200);
+    assert_eq!((answer.status(), answer.header("x-risk")), (200, Some("told")));
+    assert_eq!(answer.header("retry-after"), None);
     let seen = server.seen().pop().expect("a request");
     let all = |name: &str| -> Vec<String> {
         seen.headers.iter().filter(|(n, _)| n == name).map(|(_, v)| v.clone()).collect()
