One accept loop for both fronts, one counter guard; twins of the kit and authz joined

Cause: on reading the whole change again, the gRPC front had its own copy of the HTTP front's accept loop, the gate and the authorisers each a guard that counts, the meter of frames and its test their own copies of the frame names, the kit two ways to note an answer, three serve() that only named an address, two readers of measured scenarios. A permission made an inbox that nobody read, only to be replaced; a field of the breaker's leave said what its round says.

Change: fronts/accept.rs, count.rs, wire's names in the meter, note_answer, serve() with an address, parse(); the host makes the guard of a permission itself. Behaviour and assertions are as they were.

--- a/crates/authz/src/breaker.rs
+++ b/crates/authz/src/breaker.rs
@@ -37,7 +37,6 @@
 #[must_use = "without its end the breaker waits for it"]
 pub struct Leave {
     round: u64,
-    trying: bool,
 }
 
 impl Breaker {
@@ -52,10 +51,10 @@
     /// Seconds until the next try may be made; those of a whole rest while one is out.
     pub fn leave(&mut self, now: f64) -> Result<Leave, f64> {
         match self.state {
-            State::Closed(_) => Ok(Leave { round: self.round, trying: false }),
+            State::Closed(_) => Ok(Leave { round: self.round }),
             State::Open(until) if now >= until => {
                 self.state = State::Trying;
-                Ok(Leave { round: self.round, trying: true })
+                Ok(Leave { round: self.round })
             }
             State::Open(until) => Err(until - now),
             State::Trying => Err(self.rest),
@@ -65,11 +64,11 @@
     /// How it went; `None` if nothing was learnt, for its client left.
     pub fn ended(&mut self, now: f64, leave: Leave, good: Option<bool>) {
         if leave.round != self.round {
-            // Asked before the breaker opened or closed: an old answer says nothing of now.
+            // Asked before the breaker opened or closed: an old answer says nothing of now. So while one tries
+            // it, only that one counts.
             return;
         }
         match (self.state, good) {
-            (State::Trying, _) if !leave.trying => {}
             (State::Trying, None) => self.state = State::Open(now),
             (State::Trying, Some(true)) => {
                 self.state = State::Closed(0);
--- a/crates/authz/src/flood.rs
+++ b/crates/authz/src/flood.rs
@@ -3,16 +3,9 @@
 //! hyper answers each SETTINGS and PING, and gives up a reset stream's work; it bounds what it keeps of
 //! them and not how often they come. So the bytes are read along here, headers of frames only.
 
+use crate::wire::{CONTINUATION, DATA, HEAD, HEADERS, PREFACE, RST_STREAM};
 use std::fmt;
 
-const PREFACE: usize = 24;
-const HEADER: usize = 9;
-
-const DATA: u8 = 0;
-const HEADERS: u8 = 1;
-const RST_STREAM: u8 = 3;
-const CONTINUATION: u8 = 9;
-
 /// How often frames may come over one connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FrameLimits {
@@ -53,7 +46,7 @@
     at: f64,
     /// Bytes still to skip: of the preface, or of a frame's payload.
     skip: usize,
-    header: [u8; HEADER],
+    header: [u8; HEAD],
     have: usize,
 }
 
@@ -65,8 +58,8 @@
             resets: limits.resets * 2.0,
             control: limits.control * 2.0,
             at: now,
-            skip: PREFACE,
-            header: [0; HEADER],
+            skip: PREFACE.len(),
+            header: [0; HEAD],
             have: 0,
         }
     }
@@ -89,14 +82,14 @@
             let skipped = self.skip.min(bytes.len());
             self.skip -= skipped;
             bytes = &bytes[skipped..];
-            let taken = (HEADER - self.have).min(bytes.len());
+            let taken = (HEAD - self.have).min(bytes.len());
             if self.skip > 0 || taken == 0 {
                 continue;
             }
             self.header[self.have..self.have + taken].copy_from_slice(&bytes[..taken]);
             self.have += taken;
             bytes = &bytes[taken..];
-            if self.have == HEADER {
+            if self.have == HEAD {
                 self.have = 0;
                 self.frame()?;
             }
--- a/crates/authz/src/wire.rs
+++ b/crates/authz/src/wire.rs
@@ -1,5 +1,6 @@
 //! Frames of HTTP/2 written by hand, for stand-ins and tests that send what no library would: RFC 9113, 4.1,
-//! and header lists after RFC 7541 without compression. The limiter itself leaves all of this to hyper.
+//! and header lists after RFC 7541 without compression. The limiter itself leaves all but the names of
+//! frames to hyper.
 
 /// A frame of DATA.
 pub const DATA: u8 = 0;
@@ -30,7 +31,8 @@
 /// Error code CANCEL.
 pub const CANCEL: u32 = 8;
 
-const HEAD: usize = 9;
+/// Bytes of a frame before its payload.
+pub const HEAD: usize = 9;
 
 /// A frame.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/authz/tests/peers.rs
+++ b/crates/authz/tests/peers.rs
@@ -3,24 +3,16 @@
 use liftrouter_authz::messages::grpc::reflection::v1::server_reflection_request::MessageRequest;
 use liftrouter_authz::messages::grpc::reflection::v1::server_reflection_response::MessageResponse;
 use liftrouter_authz::messages::grpc::reflection::v1::ServerReflectionRequest;
+use liftrouter_authz::wire::{
+    self, CONTINUATION, DATA, HEADERS, PING, PREFACE, RST_STREAM, SETTINGS, WINDOW_UPDATE,
+};
 use liftrouter_authz::{reflect, Flood, FrameLimits, FrameMeter, Message, AUTHORIZATION, SERVICES};
 use prost_types::FileDescriptorProto;
 
-const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
-const DATA: u8 = 0;
-const HEADERS: u8 = 1;
 const PRIORITY: u8 = 2;
-const RST_STREAM: u8 = 3;
-const SETTINGS: u8 = 4;
-const PING: u8 = 6;
-const WINDOW_UPDATE: u8 = 8;
-const CONTINUATION: u8 = 9;
 
 fn raw(kind: u8, length: usize) -> Vec<u8> {
-    let [_, a, b, c] = (length as u32).to_be_bytes();
-    let mut bytes = vec![a, b, c, kind, 0, 0, 0, 0, 1];
-    bytes.resize(9 + length, 0);
-    bytes
+    wire::raw(kind, 0, 1, &vec![0; length])
 }
 
 fn meter() -> FrameMeter {
--- a/crates/daemon/src/fronts/gate.rs
+++ b/crates/daemon/src/fronts/gate.rs
@@ -2,6 +2,7 @@
 //!
 //! It holds what all fronts share: the ids that are open, the bytes that requests take, how many are in work.
 
+use crate::count::Count;
 use crate::inbox::{Answer, Arrival, Call, Gone, Inbox};
 use crate::peers::authoriser::{Authorisers, Finding, WhenUnsure};
 use crate::peers::servers::OWN;
@@ -81,7 +82,7 @@
         let mut changes = Changes::default();
         if let Some(authoriser) = self.authorisers.of(&arrival.class) {
             let asked = {
-                let _waiting = Waiting::new(&self.waiting);
+                let _waiting = Count::new(&self.waiting);
                 let Question { make, via, due } = *question;
                 self.authorisers.ask(authoriser, &make(), via, due).await
             };
@@ -108,30 +109,9 @@
     async fn put(&self, arrival: Arrival) -> Answer {
         let (id, answer) = self.inbox.ask(arrival);
         let gone = Gone { inbox: self.inbox.clone(), id: Some(id) };
-        match answer.await {
-            // It may still be on its way when its client leaves.
-            Ok(Answer::Permitted(_)) => Answer::Permitted(gone),
-            answer => {
-                gone.answered();
-                answer.unwrap_or(Answer::Failed)
-            }
-        }
-    }
-}
-
-/// Counts a request while an authoriser is asked about it.
-struct Waiting<'a>(&'a Cell<usize>);
-
-impl<'a> Waiting<'a> {
-    fn new(count: &'a Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        Waiting(count)
-    }
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        let answer = answer.await;
+        gone.answered();
+        answer.unwrap_or(Answer::Failed)
     }
 }
 
--- a/crates/daemon/src/fronts/grpc/mod.rs
+++ b/crates/daemon/src/fronts/grpc/mod.rs
@@ -7,8 +7,8 @@
 mod connection;
 mod reply;
 
+use super::accept::{accept, ACCEPT_PAUSE};
 use super::gate::Gate;
-use crate::log;
 use connection::Connection;
 use liftrouter_authz::{FrameLimits, Mapping};
 use std::cell::{Cell, RefCell};
@@ -22,9 +22,6 @@
 use tokio::sync::{watch, Notify};
 use tokio::time::timeout;
 
-/// Pause before accepting is tried again where it failed or all connections are taken.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-
 /// The operator's settings of the front.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
@@ -50,7 +47,7 @@
     limits: Limits,
     mapping: Mapping,
     /// Told to peers that this limiter asks, to know a question of its own.
-    pub name: String,
+    name: String,
     /// Whether calls are taken: neither before it is ready nor once it drains.
     serving: watch::Sender<bool>,
     draining: Cell<bool>,
@@ -88,29 +85,25 @@
 
     /// Accepts connections for as long as it is polled.
     pub async fn accept(self: &Rc<Self>, listener: TcpListener) {
-        loop {
-            while self.connections.borrow().len() >= self.limits.connections {
+        let full = || {
+            let full = self.connections.borrow().len() >= self.limits.connections;
+            if full {
                 self.close_idlest();
-                let _ = timeout(ACCEPT_PAUSE, self.closed.notified()).await;
-            }
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let number = self.next.replace(self.next.get() + 1);
-                    let state = Connection::new(self.draining.get());
-                    self.connections.borrow_mut().insert(number, state.clone());
-                    let grpc = self.clone();
-                    tokio::task::spawn_local(async move {
-                        connection::serve(&grpc, &state, stream).await;
-                        grpc.connections.borrow_mut().remove(&number);
-                        grpc.closed.notify_one();
-                    });
-                }
-                Err(e) => {
-                    log("grpc", format_args!("cannot accept: {e}"));
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
             }
-        }
+            full
+        };
+        let take = |stream| {
+            let number = self.next.replace(self.next.get() + 1);
+            let state = Connection::new(self.draining.get());
+            self.connections.borrow_mut().insert(number, state.clone());
+            let grpc = self.clone();
+            tokio::task::spawn_local(async move {
+                connection::serve(&grpc, &state, stream).await;
+                grpc.connections.borrow_mut().remove(&number);
+                grpc.closed.notify_one();
+            });
+        };
+        accept(listener, "grpc", &self.closed, full, take).await;
     }
 
     /// Begins the end: health checks say so, and every connection is sent away with GOAWAY once the calls that
--- a/crates/daemon/src/fronts/http.rs
+++ b/crates/daemon/src/fronts/http.rs
@@ -2,10 +2,10 @@
 //!
 //! What is malformed is answered here and reaches neither the module nor a server.
 
+use super::accept::{accept, ACCEPT_PAUSE};
 use super::gate::{Gate, Question};
 use super::head::{check, Rejected, REPEAT};
 use crate::inbox::{Answer, Arrival, Call, Forward};
-use crate::log;
 use crate::peers::link::{Socket, Tracked, MAX_BODY};
 use crate::peers::servers::{CORRELATION_ID, IDEMPOTENCY_KEY};
 use bytes::Bytes;
@@ -51,9 +51,6 @@
 /// connects because it has one to send.
 const NEVER_ASKED: Duration = Duration::from_millis(30);
 const MAX_HEAD: usize = 16 * 1024;
-/// Pause before accepting is tried again: after a failure, which most likely means that descriptors ran out,
-/// and where all connections that may be open are busy.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 pub struct Clients {
     gate: Rc<Gate>,
@@ -114,23 +111,15 @@
 
     /// Accepts connections for as long as it is polled.
     pub async fn accept(self: &Rc<Self>, listener: TcpListener) {
-        loop {
-            // A connection that is accepted may carry a request, and ending it would lose that one. Beyond
-            // the budget the rest wait with the kernel until another has closed, or has become idle and is.
-            while self.connections.borrow().len() >= self.budget {
+        let full = || {
+            let full = self.connections.borrow().len() >= self.budget;
+            if full {
                 self.close_idlest();
-                let _ = timeout(ACCEPT_PAUSE, self.closed.notified()).await;
-            }
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::task::spawn_local(self.clone().serve(Socket::new(stream)));
-                }
-                Err(e) => {
-                    log("clients", format_args!("cannot accept: {e}"));
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
             }
-        }
+            full
+        };
+        let take = |stream| drop(tokio::task::spawn_local(self.clone().serve(Socket::new(stream))));
+        accept(listener, "clients", &self.closed, full, take).await;
     }
 
     /// Begins the end: answers carry `Connection: close`, idle connections are closed.
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -240,7 +240,10 @@
     fn carry_out(&mut self, action: Action) {
         match action {
             Action::Send { id, server, timeout } => self.send(id, server, timeout),
-            Action::Permit { id } => self.answer(id, Answer::Permitted(Gone::default())),
+            Action::Permit { id } => {
+                let gone = Gone { inbox: self.inbox.clone(), id: Some(id) };
+                self.answer(id, Answer::Permitted(gone));
+            }
             Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused(retry_after)),
             Action::Fail { id } => self.answer(id, Answer::Failed),
             Action::Cancel { id, attempt } => {
--- a/crates/daemon/src/inbox.rs
+++ b/crates/daemon/src/inbox.rs
@@ -156,7 +156,6 @@
 }
 
 /// Reports that a client left, unless it got its answer.
-#[derive(Default)]
 pub struct Gone {
     pub inbox: Rc<Inbox>,
     pub id: Option<RequestId>,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,6 +4,7 @@
 //! SIGHUP, and ends them on SIGTERM.
 #![forbid(unsafe_code)]
 
+mod count;
 mod fronts;
 mod host;
 mod http2;
--- a/crates/daemon/src/peers/authoriser.rs
+++ b/crates/daemon/src/peers/authoriser.rs
@@ -3,6 +3,7 @@
 //! A question is asked once. It is asked again only if it surely was not seen: refused, above a GOAWAY's last
 //! id, or never written. What goes wrong leaves the limiter unsure, and the class says what that means.
 
+use crate::count::Count;
 use crate::http2::{Local, Metered};
 use crate::log;
 use bytes::Bytes;
@@ -353,22 +354,6 @@
     request
 }
 
-/// Counts while it is held.
-struct Count<'a>(&'a Cell<usize>);
-
-impl<'a> Count<'a> {
-    fn new(count: &'a Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        Count(count)
-    }
-}
-
-impl Drop for Count<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Leave to ask, given back even if the client leaves.
 struct Trial<'a> {
     of: &'a Authoriser,
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -359,7 +359,7 @@
             StandIn::Keeper { listen } => {
                 let keeper = Keeper::new(scenario.keeper.clone(), recorder);
                 let reserved = Reserved::at(listen).map_err(taken(listen))?;
-                let at = keeper.serve_at(0, Link::new(), reserved).map_err(taken(listen))?;
+                let at = keeper.serve(0, Link::new(), reserved).map_err(taken(listen))?;
                 println!("the keeper listens on {at}");
                 wait().await
             }
@@ -369,7 +369,7 @@
                     list.put(list::Entry::warm(n as u8, *address));
                 }
                 let reserved = Reserved::at(listen).map_err(taken(listen))?;
-                let at = list.serve_at(0, Link::new(), reserved).map_err(taken(listen))?;
+                let at = list.serve(0, Link::new(), reserved).map_err(taken(listen))?;
                 println!("the list listens on {at}");
                 wait().await
             }
@@ -377,7 +377,7 @@
                 let figures = scenario::Authoriser { deny, ..scenario::Authoriser::default() };
                 let reserved = Reserved::at(listen).map_err(taken(listen))?;
                 let authoriser = Authoriser::new(figures, recorder);
-                let at = authoriser.serve_at(0, Link::new(), reserved).map_err(taken(listen))?;
+                let at = authoriser.serve(0, Link::new(), reserved).map_err(taken(listen))?;
                 println!("the authoriser listens on {at}");
                 wait().await
             }
--- a/crates/rehearsal/src/measure.rs
+++ b/crates/rehearsal/src/measure.rs
@@ -30,7 +30,12 @@
          [[class]]\nname = \"price-quote\"\nshare = 1.0\nwork_ms = 1.0\naim_ms = 750.0\ndeadline_ms = 2000.0\nworth = 2.0\neffect = \"safe\"\n\
          [[plan]]\nname = \"network\"\nshare = 1.0\nrate = 1000000.0\nburst_s = 1.0\nprice = 1.0\n"
     );
-    let parsed = Scenario::parse("measure", &text);
+    parse(&text)
+}
+
+/// A scenario of a measurement.
+pub(crate) fn parse(text: &str) -> io::Result<Scenario> {
+    let parsed = Scenario::parse("measure", text);
     parsed.map_err(|p| io::Error::other(p.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")))
 }
 
--- a/crates/rehearsal/src/measure_authz.rs
+++ b/crates/rehearsal/src/measure_authz.rs
@@ -3,7 +3,7 @@
 
 use crate::daemon::{cpu_of, memory_of};
 use crate::history::{Event, Recorder};
-use crate::measure::{middle, options};
+use crate::measure::{middle, options, parse};
 use crate::rehearsal::{rehearse, watch_lateness, Stage};
 use crate::scenario::{Kind, Scenario};
 use crate::schedule::{seconds, Arrival, Customer, Micros, Peer, Permission, Planned, Schedule, Try};
@@ -48,8 +48,7 @@
          [[plan]]\nname = \"network\"\nshare = 1.0\nrate = 1000000.0\nburst_s = 1.0\nprice = 1.0\n\
          [[plan]]\nname = \"used-up\"\nshare = 1.0\nrate = 0.01\nburst_s = 0.1\nprice = 1.0\n"
     );
-    let parsed = Scenario::parse("measure", &text);
-    parsed.map_err(|p| io::Error::other(p.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")))
+    parse(&text)
 }
 
 fn arrival(at: Micros, customer: usize, permission: bool) -> Arrival {
--- a/crates/rehearsal/src/rehearsal.rs
+++ b/crates/rehearsal/src/rehearsal.rs
@@ -243,7 +243,7 @@
                 operator.push_str(&format!("[grpc]\nlisten = '{listen}'\nstreams = 1000\n"));
             }
             if let Some(authoriser) = &authoriser {
-                let at = authoriser.serve(n as u8, links.authoriser.clone())?;
+                let at = authoriser.serve(n as u8, links.authoriser.clone(), Reserved::any()?)?;
                 operator.push_str(&asking(&scenario, at));
             }
             operators.push(operator);
@@ -264,8 +264,8 @@
         let mut all = Vec::new();
         for ((n, links), own) in links.iter().enumerate().zip(reserved) {
             let n = n as u8;
-            let keeper_at = keeper.serve(n, links.keeper.clone())?;
-            let list_at = list.serve(n, links.list.clone())?;
+            let keeper_at = keeper.serve(n, links.keeper.clone(), Reserved::any()?)?;
+            let list_at = list.serve(n, links.list.clone(), Reserved::any()?)?;
             all.push(Limiter::new(n, keeper_at, list_at, own, shared.clone())?);
         }
         let (limiters, floods) = (all, Mutex::default());
--- a/crates/rehearsal/src/standin/authoriser.rs
+++ b/crates/rehearsal/src/standin/authoriser.rs
@@ -105,16 +105,8 @@
     /// Listens for one limiter on an address of its own.
     ///
     /// # Errors
-    /// No address is to be had.
-    pub fn serve(self: &Arc<Self>, limiter: u8, link: Arc<Link>) -> io::Result<SocketAddr> {
-        self.serve_at(limiter, link, Reserved::any()?)
-    }
-
-    /// The same on this address.
-    ///
-    /// # Errors
     /// It cannot be listened on.
-    pub fn serve_at(
+    pub fn serve(
         self: &Arc<Self>,
         limiter: u8,
         link: Arc<Link>,
--- a/crates/rehearsal/src/standin/clients.rs
+++ b/crates/rehearsal/src/standin/clients.rs
@@ -379,34 +379,30 @@
                     return Ended::Failed;
                 }
             };
-            let advice = advice.filter(|s| s.is_finite() && *s > 0.0).map(Duration::from_secs_f64);
-            let told = advice.map(|a| a.as_micros() as Micros);
-            self.recorder.note(Event::Answered { id, status, advice: told, body: Body::Own });
-            return match status {
-                200 => Ended::Served,
-                429 | 503 => Ended::Refused(advice),
-                _ => Ended::Failed,
-            };
+            return self.note_answer(id, status, advice, Body::Own);
         }
         unreached()
     }
 
     fn answered(&self, id: TryId, limiter: usize, answer: Answer, rest: Vec<u8>, stream: TcpStream) -> Ended {
         let advice = answer.headers.get("retry-after").and_then(|t| t.trim().parse::<f64>().ok());
-        let advice = advice.filter(|s| s.is_finite() && *s > 0.0).map(Duration::from_secs_f64);
         let own = answer.status != 200 || is_own(&answer.body, id, self.secret);
-        self.recorder.note(Event::Answered {
-            id,
-            status: answer.status,
-            advice: advice.map(|a| a.as_micros() as Micros),
-            body: if own { Body::Own } else { Body::Foreign },
-        });
+        let body = if own { Body::Own } else { Body::Foreign };
+        let ended = self.note_answer(id, answer.status, advice, body);
         if !rest.is_empty() {
             self.recorder.note(Event::Surplus { id, bytes: rest.len() as u32 });
         } else if !answer.last {
             lock(&self.front.gates[limiter].idle).push((stream, Instant::now()));
         }
-        match answer.status {
+        ended
+    }
+
+    /// Notes a whole answer, whichever front it came over, and says what it means to its client.
+    fn note_answer(&self, id: TryId, status: u16, advice: Option<f64>, body: Body) -> Ended {
+        let advice = advice.filter(|s| s.is_finite() && *s > 0.0).map(Duration::from_secs_f64);
+        let told = advice.map(|a| a.as_micros() as Micros);
+        self.recorder.note(Event::Answered { id, status, advice: told, body });
+        match status {
             200 => Ended::Served,
             429 | 503 => Ended::Refused(advice),
             _ => Ended::Failed,
--- a/crates/rehearsal/src/standin/keeper.rs
+++ b/crates/rehearsal/src/standin/keeper.rs
@@ -64,16 +64,8 @@
     /// Listens for one limiter on an address of its own.
     ///
     /// # Errors
-    /// No address is to be had.
-    pub fn serve(self: &Arc<Self>, limiter: u8, link: Arc<Link>) -> io::Result<SocketAddr> {
-        self.serve_at(limiter, link, Reserved::any()?)
-    }
-
-    /// The same on this address.
-    ///
-    /// # Errors
     /// It cannot be listened on.
-    pub fn serve_at(
+    pub fn serve(
         self: &Arc<Self>,
         limiter: u8,
         link: Arc<Link>,
@@ -242,7 +234,7 @@
     #[tokio::test]
     async fn it_adds_forgets_and_knows_its_calls() {
         let k = keeper(10_000.0);
-        let address = k.serve(0, Link::new()).expect("serve");
+        let address = k.serve(0, Link::new(), Reserved::any().expect("an address")).expect("serve");
         assert_eq!(call(address, "/tally/a?n=2.5&keep_ms=60000").await.expect("call"), (200, "2.5".into()));
         assert_eq!(call(address, "/tally/a?n=-1&keep_ms=1").await.expect("call"), (200, "1.5".into()));
         assert_eq!(call(address, "/tally/b?n=1&keep_ms=1").await.expect("call"), (200, "1".into()));
@@ -268,7 +260,7 @@
     #[tokio::test]
     async fn overlapping_faults_end_one_by_one() {
         let k = keeper(10_000.0);
-        let address = k.serve(0, Link::new()).expect("serve");
+        let address = k.serve(0, Link::new(), Reserved::any().expect("an address")).expect("serve");
         k.fall_silent(1);
         k.fall_silent(2);
         k.undo(1);
--- a/crates/rehearsal/src/standin/list.rs
+++ b/crates/rehearsal/src/standin/list.rs
@@ -182,16 +182,8 @@
     /// Listens for one limiter on an address of its own.
     ///
     /// # Errors
-    /// No address is to be had.
-    pub fn serve(self: &Arc<Self>, limiter: u8, link: Arc<Link>) -> io::Result<SocketAddr> {
-        self.serve_at(limiter, link, Reserved::any()?)
-    }
-
-    /// The same on this address.
-    ///
-    /// # Errors
     /// It cannot be listened on.
-    pub fn serve_at(
+    pub fn serve(
         self: &Arc<Self>,
         limiter: u8,
         link: Arc<Link>,
@@ -324,7 +316,7 @@
         let list = List::new(recorder.clone());
         list.put(entry(0, 0, Listed::InService));
         list.put(entry(1, 0, Listed::InService));
-        let address = list.serve(0, Link::new()).expect("serve");
+        let address = list.serve(0, Link::new(), Reserved::any().expect("an address")).expect("serve");
         let mut watch_all = watch(address, "").await;
         let first = news(&mut watch_all).await;
         assert_eq!(
@@ -347,7 +339,7 @@
     async fn late_news_come_later_and_only_while_the_fault_lasts() {
         let list = List::new(Arc::default());
         list.put(entry(0, 0, Listed::InService));
-        let address = list.serve(0, Link::new()).expect("serve");
+        let address = list.serve(0, Link::new(), Reserved::any().expect("an address")).expect("serve");
         let mut reader = watch(address, "").await;
         news(&mut reader).await;
         list.be_late(1, 0.2);
