A class that a server turns away again and again goes elsewhere; its other classes stay

A probe of every attempt showed 476 requests of one class turned away by four servers of eleven, each after 150 ms, while the same four answered 216 of the other class. The turned-away ones made the whole server slow and cut its window (fleet.rs, turned_away and pace), a good answer of the other class put it back, and the class came again; 1,087 requests were then refused since every window was full. Ruled out: load reports (nothing waited there), the fleet's window (press 0.00), cold servers, ejections.

Change: turn-aways are counted by class until the class is answered. The first in a row counts against the server as before; further ones against the class there alone. From two on the server is barred to the class for four aims, unless all are, and the windows of the others are wider for it by what the barred ones held, twice at most.

--- a/crates/decision/src/policy/fleet.rs
+++ b/crates/decision/src/policy/fleet.rs
@@ -8,7 +8,7 @@
 /// Failures in a row that eject a server, the first ejection in aims, its most doublings, the share of all
 /// that may be ejected (half may be cut off), and late answers in a row that call an attempt off.
 const EJECT: (u32, f64, u32, f64, u32) = (3, 3.0, 3, 0.6, 2);
-/// How much each late attempt of a class counts against its server for it, and for how many aims.
+/// How much each late or refused attempt of a class counts against its server for it, and for how many aims.
 const LATE: (f64, f64) = (4.0, 8.0);
 /// Weight of one answer in a server's slowness, where all before is forgotten, and in a class's mean.
 const SLOW_GAIN: f64 = 0.15;
@@ -20,6 +20,9 @@
 const WINDOW: (f64, f64, f64) = (4.0, 4.0, 64.0);
 /// Least share of the aim that the work itself takes, and the weight of one answer in what it takes.
 const REST: (f64, f64) = (0.09, 0.03);
+/// Requests of a class turned away in a row that bar a server to it, the aims for which they do, and the most
+/// that the windows of the others widen for the class meanwhile.
+const BAR: (u32, f64, f64) = (2, 4.0, 2.0);
 /// A mean answer under the first multiple of that opens the window, over the second closes it by the third.
 const WINDOW_LAG: (f64, f64, f64) = (1.1, 2.8, 0.7);
 /// Limiters that use a server in turn, and the fewest servers one uses: evidence of many servers is thin.
@@ -60,6 +63,8 @@
     fails: u32,
     /// Per class: late attempts since it last answered that class, and the time of the last.
     late: Vec<(u32, f64)>,
+    /// The same for requests of the class that it turned away.
+    away: Vec<(u32, f64)>,
     ejections: u32,
     ejected_until: f64,
     /// Sends of the last overload period, while cold.
@@ -80,6 +85,11 @@
         }
     }
 
+    /// Whether it turns requests of a class away now, again and again.
+    fn bars(&self, class: usize, aim: f64, now: f64) -> bool {
+        self.away.get(class).is_some_and(|(n, at)| *n >= BAR.0 && now - at < BAR.1 * aim)
+    }
+
     /// Share of its full capacity that a server has at least, by its age.
     fn warmth(&self, set: &Settings, now: f64) -> f64 {
         let age = self.started.map_or(1.0, |at| (now - at).max(0.0) / set.ramp_time.max(1e-9));
@@ -110,6 +120,8 @@
     warm: f64,
     /// Attempts out at all servers.
     out: u32,
+    /// How much wider windows are for a class that some servers bar: its work there has to go elsewhere.
+    wider: Vec<f64>,
 }
 
 /// The tightest aim of all classes, which times of the fleet are measured by.
@@ -176,6 +188,12 @@
             (count, ejected, room) = (count + 1.0, ejected + 1.0 - serves, room + serves * s.window);
         }
         (self.spare, self.room) = (count * EJECT.3 - ejected, room);
+        let aim = aim(set);
+        let open = |class| {
+            let serving = self.servers.values().filter(|s| s.state == ServerState::InService);
+            serving.filter(|s| !s.bars(class, aim, now)).count() as f64
+        };
+        self.wider = (0..set.classes.len()).map(|n| (count / open(n).max(1.0)).clamp(1.0, BAR.2)).collect();
         self.subset = (count * COVER / peers).ceil().clamp(SUBSET.min(count), count);
         self.cover = (peers * self.subset / f64::max(count, 1.0)).max(1.0);
         let used = self.ring.iter().take(self.subset as usize).map(|id| &self.servers[id]);
@@ -215,11 +233,23 @@
         s.slow_at = now;
         s.late.resize(set.classes.len(), (0, now));
         s.late[class] = if late { (s.late[class].0 + 1, now) } else { (0, now) };
+        s.away.resize(set.classes.len(), (0, now));
+        s.away[class] = if late { s.away[class] } else { (0, now) };
     }
 
-    /// A server turned work away: it answers at once, and would else look like the least busy.
-    pub fn turned_away(&mut self, view: View, id: &ServerId, class: usize) {
-        self.slowness(view, id, class, (FULL_SLOW, false));
+    /// A server turned work away: it answers soon, and would else look like the least busy. The first time, as
+    /// far as anyone can tell, it is full. Again, with no good answer of that class between, it may be the class
+    /// that it cannot serve now: that says nothing of the others, and closes no window. True the first time.
+    pub fn turned_away(&mut self, view: View, id: &ServerId, class: usize) -> bool {
+        let before = self.servers.get(id).and_then(|s| s.away.get(class)).map_or(0, |(n, _)| *n);
+        if before == 0 {
+            self.slowness(view, id, class, (FULL_SLOW, false));
+        }
+        if let Some(s) = self.servers.get_mut(id) {
+            s.away.resize(view.set.classes.len(), (0, view.now));
+            s.away[class] = (before + 1, view.now);
+        }
+        before == 0
     }
 
     /// Bounds what may be out at a server by what it shows it can take.
@@ -271,10 +301,12 @@
     /// The best server for a request, or none where every one that may take it has enough.
     pub fn choose(&self, view: View, wanted: &Wanted, draw: f64) -> Option<ServerId> {
         let View { set, now } = view;
-        let forget = SLOW_FORGET * aim(set);
+        let aim = aim(set);
+        let forget = SLOW_FORGET * aim;
         let pooled = self.pooled();
         let (mut best, mut last) = (None::<(f64, &ServerId)>, None::<(f64, &ServerId)>);
-        let mut looked = 0.0;
+        let (mut looked, mut open, mut barred) = (0.0, 0, None::<(f64, &ServerId)>);
+        let wider = self.wider.get(wanted.class).copied().unwrap_or(1.0);
         let named = self.ring.iter().map(|id| (id, &self.servers[id]));
         for (id, s) in named.filter(|(_, s)| s.state == ServerState::InService && wanted.allows(s)) {
             if s.ejected_until > now {
@@ -287,7 +319,9 @@
             }
             looked += 1.0;
             let warmth = s.warmth(set, now);
-            let window = if s.fails >= EJECT.0 { 1.0 } else { s.window * warmth };
+            let bars = s.bars(wanted.class, aim, now);
+            open += u32::from(!bars);
+            let window = if s.fails >= EJECT.0 { 1.0 } else { s.window * warmth * wider };
             // Many limiters with one attempt each can be too much: windows below one hold over all servers.
             let full = f64::from(s.out) + 1.0 > window.max(1.0) || (window < 1.0 && !pooled);
             if full || !self.cold_room(view, id, s) {
@@ -296,15 +330,20 @@
             let slow = 1.0 + (s.slow - 1.0) * (-(now - s.slow_at) / forget).exp();
             let mut score = slow * f64::from(s.out + 1) / (warmth * s.weight);
             score *= if *s.zone == *set.zone { 1.0 } else { CROSS_ZONE };
-            if let Some((late, at)) = s.late.get(wanted.class).filter(|(late, _)| *late > 0) {
-                let fade = LATE.1 * aim(set) * f64::from(*late);
-                score *= 1.0 + LATE.0 * f64::from(*late) * (-(now - at) / fade).exp();
+            for (n, at) in [&s.late, &s.away].iter().filter_map(|m| m.get(wanted.class)).filter(|m| m.0 > 0) {
+                let fade = LATE.1 * aim * f64::from(*n);
+                score *= 1.0 + LATE.0 * f64::from(*n) * (-(now - at) / fade).exp();
             }
             let tried = wanted.tried.contains(&id);
             score *= f64::from(1 + s.fails) * if tried { TRIED } else { 1.0 };
             score *= 1.0 + JITTER * (draw + GOLDEN * looked).fract();
-            best = if best.is_none_or(|(b, _)| score < b) { Some((score, id)) } else { best };
+            let place = if bars { &mut barred } else { &mut best };
+            if place.is_none_or(|(b, _)| score < b) {
+                *place = Some((score, id));
+            }
         }
+        // Barred everywhere, a class still gets some through.
+        best = best.or(if open > 0 { None } else { barred });
         // With every server ejected the least suspect still gets some: a wrong guess must not stop all.
         best.or(if looked > 0.0 { None } else { last }).map(|(_, id)| id.clone())
     }
--- a/crates/decision/src/policy/life.rs
+++ b/crates/decision/src/policy/life.rs
@@ -275,9 +275,9 @@
                 self.fleet.answered(now, &server);
             }
             Outcome::Full => {
-                // It answers at once, and would else look like the least busy.
-                self.fleet.turned_away(view, &server, class);
-                self.fleet.pace(view, &server, (took, aim), true);
+                if self.fleet.turned_away(view, &server, class) {
+                    self.fleet.pace(view, &server, (took, aim), true);
+                }
             }
             Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => self.fleet.strike(view, &server),
             Outcome::Timeout => self.fleet.pace(view, &server, (took, aim), true),
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -224,3 +224,73 @@
     let ticks = out.iter().filter(|a| matches!(a, Action::SetTimer { at, .. } if *at > 100.2)).count();
     assert_eq!(ticks, 1, "{out:?}");
 }
+
+/// Server A is near, the two others far: what can go to A does.
+fn one_near() -> Host {
+    let mut h = Host::new(settings());
+    let up = ServerState::InService;
+    let far = [C, "10.0.0.4:1"].map(|id| server(id, "west", up, None));
+    h.event(Event::ServerList(far.into_iter().chain([server(A, "east", up, None)]).collect()));
+    h
+}
+
+/// Asks for a class and answers as told; true if it went to server A.
+fn asked_at_a(h: &mut Host, n: u32, class: &str, at_a: Outcome) -> bool {
+    let (id, out) = h.ask(&format!("{class}{n}"), "plain", class, 1.0);
+    let a = sent_to(&out).as_deref() == Some(A);
+    let mut out = h.end(id, 0, if a { at_a } else { Outcome::Ok }, None);
+    for attempt in 1.. {
+        if sent_to(&out).is_none() {
+            break;
+        }
+        out = h.end(id, attempt, Outcome::Ok, None);
+    }
+    a
+}
+
+#[test]
+fn a_class_that_a_server_turns_away_goes_elsewhere_and_the_other_classes_stay() {
+    let mut h = one_near();
+    let (mut reads, mut others) = (0, 0);
+    for n in 0..100 {
+        h.now += 0.2;
+        reads += u32::from(asked_at_a(&mut h, n, "read", Outcome::Full));
+        // Several at once: each server is needed.
+        let asked: Vec<_> = (0..6).map(|c| h.ask(&format!("c{c}"), "plain", "unsafe", 1.0)).collect();
+        others += asked.iter().filter(|(_, out)| sent_to(out).as_deref() == Some(A)).count();
+        asked.iter().for_each(|(id, _)| drop(h.end(*id, 0, Outcome::Ok, None)));
+    }
+    assert!(reads <= 2, "{reads} sent to a server that turns the class away");
+    assert!(others >= 150, "{others} of 600 of a class that it serves");
+    // It serves the class again: once that was tried, it gets its part as before.
+    h.now += 30.0;
+    let again: Vec<_> = (0..6).map(|c| h.ask(&format!("d{c}"), "plain", "read", 1.0)).collect();
+    assert_eq!(again.iter().filter(|(_, out)| sent_to(out).as_deref() == Some(A)).count(), 2);
+}
+
+#[test]
+fn what_one_server_turns_away_finds_room_at_the_others() {
+    // Two may be out at each at first; a third server that turns the class away leaves half as many more.
+    let mut h = one_near();
+    for n in 0..2 {
+        h.now += 60.0;
+        assert!(asked_at_a(&mut h, n, "read", Outcome::Full));
+    }
+    h.event(Event::Timer { token: 0 });
+    let sent = (0..20).filter_map(|n| sent_to(&h.ask(&format!("c{n}"), "plain", "read", 1.0).1));
+    let sent: Vec<_> = sent.collect();
+    assert!(sent.len() == 6 && sent.iter().all(|s| &**s != A), "{sent:?}");
+}
+
+#[test]
+fn a_class_that_every_server_turns_away_still_gets_some_through() {
+    let mut h = Host::new(settings());
+    let sent = (0..60).filter(|n| {
+        h.now += 0.1;
+        let (id, out) = h.ask(&format!("c{n}"), "plain", "unsafe", 1.0);
+        let sent = sent_to(&out).is_some();
+        (0..4).for_each(|attempt| drop(h.end(id, attempt, Outcome::Full, None)));
+        sent
+    });
+    assert!(sent.count() > 30);
+}
