Refusals for a cap or a full fleet tell clients to come back in one answer's time

Such refusals (life.rs, admit) carried no advice, although the module knows how long an answer takes.

Change: they advise the mean time of an answer, by which one of those that are out has most likely come.

A test, seen to fail without it.

--- a/crates/decision/src/policy/life.rs
+++ b/crates/decision/src/policy/life.rs
@@ -127,7 +127,7 @@
         let over = permission && self.permits.len() >= MOST_PERMITS;
         let denied = yields || over || self.quota.capped(set, key);
         let server = if denied { None } else { self.fleet.choose(view, &open.wanted(set), draw) };
-        let Some(server) = server else { return self.refuse(view, r.id, 0.0, out) };
+        let Some(server) = server else { return self.refuse(view, r.id, self.answer_time(), out) };
         self.quota.take(key, units);
         self.quota.tell(view, &mut self.rng, (key, units, true), out);
         if permission {
@@ -302,6 +302,11 @@
         self.finish(view, id, out);
     }
 
+    /// One answer's time on the mean: by then what is full, or at its cap, has most likely room again.
+    fn answer_time(&self) -> f64 {
+        self.means.iter().sum::<f64>() / self.means.len().max(1) as f64
+    }
+
     fn refuse(&mut self, view: View, id: RequestId, wait: f64, out: &mut Vec<Action>) {
         let set = view.set;
         let advice = if set.may_advise { wait.clamp(0.0, set.max_advice.max(0.0)) } else { 0.0 };
--- a/crates/decision/tests/life.rs
+++ b/crates/decision/tests/life.rs
@@ -115,6 +115,32 @@
     assert!(sent_to(&h.ask("c", "capped", "read", 1.0).1).is_some());
 }
 
+#[test]
+fn what_is_full_or_at_its_cap_asks_back_in_one_answers_time() {
+    let advice = |out: &[Action]| {
+        out.iter().find_map(|a| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        })
+    };
+    // Answers take a fifth of the aim as far as anyone knows.
+    let mut h = Host::new(settings());
+    h.ask("c", "capped", "read", 1.0);
+    let capped = advice(&h.ask("c", "capped", "read", 1.0).1).expect("refused");
+    assert!((0.19..0.21).contains(&capped), "{capped}");
+    let full = (0..100).find_map(|n| advice(&h.ask(&format!("c{n}"), "plain", "read", 1.0).1));
+    assert!((0.19..0.21).contains(&full.expect("refused")), "{full:?}");
+    // And later as long as they were seen to take.
+    let mut h = Host::new(settings()).warm();
+    h.ask("c", "capped", "read", 1.0);
+    let capped = advice(&h.ask("c", "capped", "read", 1.0).1).expect("refused");
+    assert!((0.05..0.19).contains(&capped), "{capped}");
+    // Not where clients take no advice.
+    let mut h = Host::new(Settings { may_advise: false, ..settings() });
+    h.ask("c", "capped", "read", 1.0);
+    assert_eq!(advice(&h.ask("c", "capped", "read", 1.0).1), Some(0.0));
+}
+
 #[test]
 fn a_streamed_answer_has_no_deadline() {
     let mut h = Host::new(settings());
