Bounds on quotas while the keeper fails, and a judge that tells its faults apart

The keeper has been silent, lost counts and been split, and the error of quotas then was not known.

Change: crates/keeper, pure. A judge that spends a call a second on names of its own, a canary and a roll, tells silence, lost, older, old and doubled counts apart, and how many limiters share its view. The module takes the view as one event, KeeperView: a share of each quota, 1 without a judge. Tests hold the module to the bounds over simulated limiters and keepers. The judge is not run by the daemon yet.

--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -278,6 +278,12 @@
         /// Time since the call.
         took: f64,
     },
+    /// What to make of the counter's totals from now on; before the first of these, they are believed.
+    KeeperView {
+        /// Share of each quota that the limiters with this view of the counts may divide by their demand, from
+        /// 0 (totals are not believed, each limiter keeps its fallback) to 1.
+        share: f64,
+    },
     /// The answer to one [`Action::Probe`].
     Probed {
         /// The server.
--- a/crates/decision/src/policy/fleet.rs
+++ b/crates/decision/src/policy/fleet.rs
@@ -238,8 +238,9 @@
     }
 
     /// A server turned work away: it answers soon, and would else look like the least busy. The first time, as
-    /// far as anyone can tell, it is full. Again, with no good answer of that class between, it may be the class
-    /// that it cannot serve now: that says nothing of the others, and closes no window. True the first time.
+    /// far as anyone can tell, it is full. Again, with no good answer of that class between, it may be the
+    /// class that it cannot serve now: that says nothing of the others, and closes no window. True the first
+    /// time.
     pub fn turned_away(&mut self, view: View, id: &ServerId, class: usize) -> bool {
         let before = self.servers.get(id).and_then(|s| s.away.get(class)).map_or(0, |(n, _)| *n);
         if before == 0 {
--- a/crates/decision/src/policy/life.rs
+++ b/crates/decision/src/policy/life.rs
@@ -275,7 +275,8 @@
                 self.fleet.answered(now, &server);
             }
             Outcome::Full => {
-                if self.fleet.turned_away(view, &server, class) {
+                let first = self.fleet.turned_away(view, &server, class);
+                if first {
                     self.fleet.pace(view, &server, (took, aim), true);
                 }
             }
--- a/crates/decision/src/policy/mod.rs
+++ b/crates/decision/src/policy/mod.rs
@@ -90,6 +90,7 @@
             Event::Counted { name, outcome, total, took } => {
                 life.quota.counted(view, &name, outcome, total, took);
             }
+            Event::KeeperView { share } => life.quota.view = share.clamp(0.0, 1.0),
             Event::Probed { .. } => {}
             Event::Timer { token } => match (token % 4, token / 4) {
                 (T_TICK, _) => {
--- a/crates/decision/src/policy/quota.rs
+++ b/crates/decision/src/policy/quota.rs
@@ -64,9 +64,11 @@
     totals: Option<Totals>,
 }
 
-/// The design's limit: the quota by weight, raised towards the fallback by what is left unused.
-fn limit(quota: f64, width: f64, request: f64, totals: Option<&Totals>) -> f64 {
+/// The design's limit: the quota by weight, raised towards the fallback by what is left unused. Where only a
+/// part of the limiters shares the totals, they divide as much of the quota.
+fn limit(quota: f64, share: f64, width: f64, request: f64, totals: Option<&Totals>) -> f64 {
     let fallback = quota / width.max(1.0);
+    let quota = quota * share;
     let Some(t) = totals.filter(|t| t.all > 0.0) else { return fallback };
     let prior = PRIOR * request;
     let weight = (t.own * t.memory + prior / width.max(1.0)) / (t.all * t.memory + prior);
@@ -77,9 +79,9 @@
 impl Customer {
     /// Refills the bucket and the ceiling's share; gives the limit and what the bucket may borrow.
     /// Tokens above a lowered depth are kept.
-    fn refill(&mut self, plan: &Plan, units: f64, alive: bool, now: f64) -> (f64, f64) {
-        let known = self.totals.as_ref().filter(|t| alive && now - t.at <= STALE * NAME_TIME);
-        let limit = limit(plan.rate, self.width, units, known);
+    fn refill(&mut self, plan: &Plan, units: f64, share: f64, now: f64) -> (f64, f64) {
+        let known = self.totals.as_ref().filter(|t| share > 0.0 && now - t.at <= STALE * NAME_TIME);
+        let limit = limit(plan.rate, share, self.width, units, known);
         let burst = limit * plan.depth / plan.rate.max(1e-9);
         let filled = self.tokens + limit * (now - self.filled);
         self.tokens = filled.min(burst.max(units).max(self.tokens));
@@ -89,7 +91,7 @@
         // A bucket of less than one request refuses most however idle the quota (the third objection). Others
         // lag behind load that moves here, a restart and lost calls. Harms where many limiters lend the same
         // idle units within a period: that goes beyond the quota.
-        let idle = known.map_or(0.0, |t| (1.0 - t.used / plan.rate.max(1e-9)).max(0.0));
+        let idle = known.map_or(0.0, |t| (share - t.used / plan.rate.max(1e-9)).max(0.0));
         let most = if burst < units { LOAN.0 * plan.depth } else { LOAN.1 * burst };
         (limit, most * idle)
     }
@@ -101,6 +103,8 @@
     customers: BTreeMap<Arc<str>, Customer>,
     /// Counter calls that are out, by name: the customer, the name's number, the steps used and refused.
     calls: BTreeMap<String, (Arc<str>, i64, f64, f64)>,
+    /// Share of each quota that totals may divide; 0 where they are not believed.
+    pub view: f64,
     counter_misses: u32,
     counter_try: f64,
     /// Share of the tries that call the counter.
@@ -113,6 +117,7 @@
             born: now,
             customers: BTreeMap::new(),
             calls: BTreeMap::new(),
+            view: 1.0,
             counter_misses: 0,
             counter_try: now,
             call_share: CALLS.0,
@@ -270,10 +275,10 @@
 
     /// The bucket and the ceiling. `Err` is the time after which a refused client may come back.
     pub fn grant(&mut self, View { set, now }: View, key: &Arc<str>, units: f64) -> Result<(), f64> {
-        let alive = self.counter_misses < COUNTER_MISSES;
+        let share = if self.counter_misses < COUNTER_MISSES { self.view } else { 0.0 };
         let Some(c) = self.customers.get_mut(key) else { return Err(0.0) };
         let plan = &set.plans[c.plan];
-        let (limit, loan) = c.refill(plan, units, alive, now);
+        let (limit, loan) = c.refill(plan, units, share, now);
         if plan.rate > 0.0 && c.tokens + loan < units {
             // Where the quota is idle, the next news of the totals is worth more than the wait for tokens.
             let wait = (units - c.tokens - loan) / limit.max(1e-3);
--- a/crates/decision/tests/quota.rs
+++ b/crates/decision/tests/quota.rs
@@ -297,3 +297,21 @@
     let limit = rate(&mut h, "c");
     assert!((7..=8).contains(&limit), "{limit}");
 }
+
+#[test]
+fn a_view_that_is_not_believed_leaves_the_fallback_and_one_that_few_share_a_part() {
+    let settled = |share: Option<f64>| {
+        let mut h = Host::new(settings()).warm();
+        settle(&mut h, "c", 1.25, 1.0);
+        if let Some(share) = share {
+            h.event(Event::KeeperView { share });
+        }
+        rate(&mut h, "c")
+    };
+    // Four fifths of the demand: of all the quota, of half of it (but no less than is left of the fallback), and
+    // none of it.
+    assert!((7..=8).contains(&settled(None)));
+    assert_eq!(settled(Some(1.0)), settled(None));
+    assert!((3..=4).contains(&settled(Some(0.5))));
+    assert_eq!(settled(Some(0.0)), 5);
+}
--- /dev/null
+++ b/crates/keeper/tests/common/mod.rs
@@ -0,0 +1,495 @@
+//! Limiters and keepers in one process and in simulated time: the decision module as it is, a keeper that can fail,
+//! and a customer whose use is held against the store that its plan defines.
+#![allow(dead_code)]
+
+use fastrand::Rng;
+use liftrouter_decision::*;
+use liftrouter_keeper::{Answer, Call, Judge, Store, Terms};
+use std::cmp::Ordering;
+use std::collections::{BinaryHeap, HashMap};
+
+pub const PARTNER: &str = "00000000000000a1";
+/// Seconds that an attempt takes, and a call to a keeper that is well, there and back.
+const ANSWER: f64 = 0.004;
+const CALL: f64 = 0.002;
+const TIMEOUT: f64 = 0.05;
+
+/// What may happen to the keeper, and to limiters.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// Answers nothing; what comes is not added.
+    Silent(bool),
+    /// Answers so many seconds late.
+    Slow(f64),
+    /// Answers with its totals of this moment, and goes on adding.
+    Stale(bool),
+    /// Adds everything twice.
+    Doubled(bool),
+    /// Forgets names with this chance each.
+    Lose(f64),
+    /// Limiters from this one on call a second keeper, which holds this share of the first one's names.
+    Split { from: usize, kept: f64 },
+    /// All call the first keeper again, which adds up the counts of both, or keeps its own.
+    Heal { both: bool },
+    /// All call a new keeper that holds this share of the first one's names.
+    Swap { kept: f64 },
+    /// A limiter starts anew.
+    Restart(usize),
+    /// A limiter stands still for so many seconds.
+    Pause(usize, f64),
+}
+
+#[derive(Default, Clone)]
+struct Keeper {
+    /// Totals, and when each is forgotten.
+    numbers: HashMap<String, (f64, f64)>,
+    silent: bool,
+    slow: f64,
+    stale: Option<HashMap<String, (f64, f64)>>,
+    doubled: bool,
+}
+
+impl Keeper {
+    fn add(&mut self, now: f64, name: &str, add: f64, lives: f64) -> f64 {
+        let number = self.numbers.entry(name.to_string()).or_insert((0.0, now + lives));
+        if number.1 <= now {
+            *number = (0.0, now + lives);
+        }
+        number.0 += if self.doubled { 2.0 * add } else { add };
+        let total = number.0;
+        self.stale.as_ref().map_or(total, |old| old.get(name).map_or(0.0, |n| n.0))
+    }
+
+    fn part(&self, kept: f64, rng: &mut Rng) -> Keeper {
+        let mut names: Vec<_> = self.numbers.iter().collect();
+        names.sort_by(|a, b| a.0.cmp(b.0));
+        let numbers = names.into_iter().filter(|_| rng.f64() < kept).map(|(k, v)| (k.clone(), *v)).collect();
+        Keeper { numbers, ..Keeper::default() }
+    }
+}
+
+enum What {
+    Ask(usize),
+    Timer(usize, u32, u64),
+    End(usize, u32, u64),
+    Call { limiter: usize, life: u32, name: String, add: f64, lives: f64, at: f64 },
+    Told { limiter: usize, life: u32, name: String, outcome: Outcome, total: f64, took: f64 },
+    Judge(usize, u32),
+    Judged { limiter: usize, life: u32, call: Call, answer: Answer },
+    Change(Change),
+}
+
+struct Due(f64, u64, What);
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    /// The earliest is the greatest; what was queued first comes first.
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.0.total_cmp(&self.0).then(other.1.cmp(&self.1))
+    }
+}
+
+/// How a partner asks.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    /// Units a second over all limiters.
+    pub rate: f64,
+    /// Share that comes through the limiter that is the busiest at the time; the rest is even.
+    pub skew: f64,
+    /// Seconds after which another limiter is the busiest.
+    pub shift: f64,
+}
+
+/// What became of it.
+#[derive(Debug, Default)]
+pub struct Result {
+    pub asked: f64,
+    pub sent: f64,
+    /// Refused while the partner's store held its units.
+    pub wrongly_refused: f64,
+    /// Over the quota, and over the hard ceiling.
+    pub over: f64,
+    pub over_ceiling: f64,
+    /// Calls that the keepers got in their busiest second.
+    pub busiest_calls: u32,
+}
+
+struct Gateway {
+    limiter: Limiter,
+    life: u32,
+    paused: f64,
+    skew: f64,
+    view: usize,
+    judge: Option<Judge>,
+}
+
+pub struct World {
+    now: f64,
+    seq: u64,
+    next_id: u64,
+    due: BinaryHeap<Due>,
+    settings: Settings,
+    seed: u64,
+    rng: Rng,
+    gateways: Vec<Gateway>,
+    keepers: Vec<Keeper>,
+    demand: Demand,
+    until: f64,
+    store: Store,
+    ceiling: Store,
+    calls: HashMap<u64, u32>,
+    result: Result,
+    judged: bool,
+}
+
+/// A plan with a quota and, where `hard` is above 1, a ceiling of so many times rate and burst.
+pub fn plan(rate: f64, burst: f64, hard: f64) -> Plan {
+    let ceiling = if hard > 1.0 { hard } else { 0.0 };
+    Plan {
+        name: "plan".into(),
+        rate,
+        depth: burst,
+        hard_rate: rate * ceiling,
+        hard_burst: burst * ceiling,
+        price: 1.0,
+        ..Plan::default()
+    }
+}
+
+impl World {
+    /// Limiters before a server that takes everything, with clocks up to so many seconds apart.
+    pub fn new(plan: Plan, limiters: usize, seed: u64, skew: f64, demand: Demand, until: f64) -> World {
+        let class = Class { name: "read".into(), aim: 1.0, deadline: 4.0, worth: 1.0, ..Class::default() };
+        let (rate, burst) = (plan.rate, plan.depth);
+        let (hard_rate, hard_burst) = (plan.hard_rate, plan.hard_burst);
+        let settings = Settings {
+            peers: limiters as u32,
+            tick: 0.002,
+            classes: vec![class],
+            plans: vec![plan],
+            max_units: 1.0,
+            has_counter: true,
+            counter_timeout: TIMEOUT,
+            start_capacity: 1.0,
+            max_attempts: 2,
+            ..Settings::default()
+        };
+        let mut rng = Rng::with_seed(seed);
+        let mut world = World {
+            now: 1_000.0,
+            seq: 0,
+            next_id: 0,
+            due: BinaryHeap::new(),
+            seed,
+            gateways: Vec::new(),
+            keepers: vec![Keeper::default()],
+            demand,
+            until: 1_000.0 + until,
+            store: Store::new(rate, burst, 1_000.0),
+            ceiling: Store::new(hard_rate.max(1e-9), hard_burst, 1_000.0),
+            calls: HashMap::new(),
+            result: Result::default(),
+            judged: false,
+            settings,
+            rng: rng.fork(),
+        };
+        for n in 0..limiters {
+            let limiter = world.fresh(n, 0);
+            let skew = skew * rng.f64();
+            world.gateways.push(Gateway { limiter, life: 0, paused: 0.0, skew, view: 0, judge: None });
+        }
+        (0..limiters).for_each(|n| world.start(n));
+        world.plan_ask();
+        world
+    }
+
+    /// Plays on for so many seconds in all.
+    pub fn until(mut self, seconds: f64) -> World {
+        self.until = 1_000.0 + seconds;
+        self
+    }
+
+    /// Every limiter judges its keeper.
+    pub fn judged(mut self) -> World {
+        self.judged = true;
+        (0..self.gateways.len()).for_each(|n| self.judge(n));
+        self
+    }
+
+    fn judge(&mut self, n: usize) {
+        let life = self.gateways[n].life;
+        let terms = Terms {
+            me: n as u32,
+            limiters: self.gateways.len() as u32,
+            tag: self.seed << 16 | (n as u64) << 8 | u64::from(life),
+            ..Terms::default()
+        };
+        let judge = Judge::new(terms, self.now + self.gateways[n].skew);
+        let (share, first) = (judge.view().share, judge.next() - self.gateways[n].skew);
+        self.gateways[n].judge = Some(judge);
+        self.feed(n, Event::KeeperView { share });
+        self.later(first, What::Judge(n, life));
+    }
+
+    fn judge_due(&mut self, n: usize, life: u32) {
+        let g = &mut self.gateways[n];
+        if g.life != life {
+            return;
+        }
+        if g.paused > self.now {
+            let at = g.paused;
+            return self.later(at, What::Judge(n, life));
+        }
+        let (clock, view) = (self.now + g.skew, g.view);
+        let Some(judge) = &mut g.judge else { return };
+        let call = judge.due(clock);
+        let next = judge.next() - g.skew;
+        if let Some(call) = call {
+            let (answer, took) = self.reach(view, &call.name, call.add, call.lives);
+            self.later(self.now + took, What::Judged { limiter: n, life, call, answer });
+        }
+        self.later(next.max(self.now + 0.001), What::Judge(n, life));
+    }
+
+    fn told_judge(&mut self, n: usize, life: u32, call: &Call, answer: Answer) {
+        let g = &mut self.gateways[n];
+        let clock = self.now + g.skew;
+        let judge = g.judge.as_mut().filter(|_| g.life == life);
+        if let Some(view) = judge.and_then(|j| j.answered(call, answer, clock)) {
+            self.feed(n, Event::KeeperView { share: view.share });
+        }
+    }
+
+    fn fresh(&self, n: usize, life: u32) -> Limiter {
+        let settings = Settings { me: n as u32, ..self.settings.clone() };
+        Limiter::new(settings, self.seed ^ (n as u64) << 8 ^ u64::from(life), self.now)
+    }
+
+    fn start(&mut self, n: usize) {
+        let entry = |k: usize| ServerEntry {
+            id: format!("10.0.0.{k}:1").into(),
+            zone: "".into(),
+            kind: "std".into(),
+            cell: 0,
+            state: ServerState::InService,
+            weight: 1.0,
+            started: None,
+        };
+        self.feed(n, Event::ServerList((1..=4).map(entry).collect()));
+    }
+
+    fn later(&mut self, at: f64, what: What) {
+        self.seq += 1;
+        self.due.push(Due(at.max(self.now), self.seq, what));
+    }
+
+    /// Makes something happen so many seconds after the start.
+    pub fn at(&mut self, seconds: f64, change: Change) {
+        self.later(1_000.0 + seconds, What::Change(change));
+    }
+
+    fn plan_ask(&mut self) {
+        let gap = -self.rng.f64().max(1e-12).ln() / self.demand.rate;
+        let count = self.gateways.len();
+        let busiest = ((self.now / self.demand.shift) as usize) % count;
+        let limiter = if self.rng.f64() < self.demand.skew { busiest } else { self.rng.usize(0..count) };
+        self.later(self.now + gap, What::Ask(limiter));
+    }
+
+    /// Plays to the end.
+    pub fn play(mut self) -> Result {
+        while let Some(Due(at, _, what)) = self.due.pop() {
+            if at > self.until {
+                break;
+            }
+            self.now = at;
+            self.happen(what);
+        }
+        self.result.over = self.store.over();
+        self.result.over_ceiling = self.ceiling.over();
+        self.result.busiest_calls = self.calls.values().copied().max().unwrap_or(0);
+        self.result
+    }
+
+    fn happen(&mut self, what: What) {
+        match what {
+            What::Ask(n) => {
+                self.plan_ask();
+                self.ask(n);
+            }
+            What::Timer(n, life, token) => self.told(n, life, Event::Timer { token }),
+            What::End(n, life, id) => {
+                let event = Event::AttemptEnded {
+                    id,
+                    attempt: 0,
+                    finished: true,
+                    outcome: Outcome::Ok,
+                    took: ANSWER,
+                    units: None,
+                    report: LoadReport::default(),
+                };
+                self.told(n, life, event);
+            }
+            What::Call { limiter, life, name, add, lives, at } => {
+                self.call(limiter, life, name, add, lives, at)
+            }
+            What::Told { limiter, life, name, outcome, total, took } => {
+                self.told(limiter, life, Event::Counted { name, outcome, total, took });
+            }
+            What::Judge(n, life) => self.judge_due(n, life),
+            What::Judged { limiter, life, call, answer } => self.told_judge(limiter, life, &call, answer),
+            What::Change(change) => self.change(change),
+        }
+    }
+
+    fn ask(&mut self, n: usize) {
+        self.next_id += 1;
+        self.result.asked += 1.0;
+        let held = self.store.level(self.now);
+        let before = self.result.sent;
+        let request = Request {
+            id: self.next_id,
+            customer: PARTNER.into(),
+            plan: "plan".into(),
+            class: "read".into(),
+            units: 1.0,
+            width: self.gateways.len() as u32,
+            repeat: false,
+            due: self.now + self.gateways[n].skew + 4.0,
+        };
+        let paused = self.gateways[n].paused > self.now;
+        if paused {
+            // It lies in the limiter's socket until that goes on.
+            self.result.asked -= 1.0;
+            self.next_id -= 1;
+            let at = self.gateways[n].paused;
+            return self.later(at, What::Ask(n));
+        }
+        self.feed(n, Event::Request(request));
+        if self.result.sent == before && held >= 1.0 {
+            self.result.wrongly_refused += 1.0;
+        }
+    }
+
+    /// Tells a limiter of something that is its own, if it is still the same, once it is awake.
+    fn told(&mut self, n: usize, life: u32, event: Event) {
+        let gateway = &self.gateways[n];
+        if gateway.life != life {
+            return;
+        }
+        if gateway.paused > self.now {
+            let at = gateway.paused;
+            return match event {
+                Event::Timer { token } => self.later(at, What::Timer(n, life, token)),
+                Event::AttemptEnded { id, .. } => self.later(at, What::End(n, life, id)),
+                Event::Counted { name, outcome, total, took } => {
+                    let took = took + at - self.now;
+                    self.later(at, What::Told { limiter: n, life, name, outcome, total, took });
+                }
+                _ => {}
+            };
+        }
+        self.feed(n, event);
+    }
+
+    fn feed(&mut self, n: usize, event: Event) {
+        let mut out = Vec::new();
+        let gateway = &mut self.gateways[n];
+        let (clock, life) = (gateway.skew, gateway.life);
+        gateway.limiter.handle(self.now + clock, event, &mut out);
+        for action in out {
+            match action {
+                Action::Send { id, .. } => {
+                    self.result.sent += 1.0;
+                    self.store.take(1.0, self.now);
+                    self.ceiling.take(1.0, self.now);
+                    self.later(self.now + ANSWER, What::End(n, life, id));
+                }
+                Action::SetTimer { at, token } => self.later(at - clock, What::Timer(n, life, token)),
+                Action::Count { name, add, lives } => {
+                    let at = self.now;
+                    let call = What::Call { limiter: n, life, name, add, lives, at };
+                    self.later(at + CALL / 2.0, call);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn call(&mut self, limiter: usize, life: u32, name: String, add: f64, lives: f64, at: f64) {
+        let (answer, took) = self.reach(self.gateways[limiter].view, &name, add, lives);
+        let (outcome, total) = match answer {
+            Answer::Total(total) => (Outcome::Ok, total),
+            _ => (Outcome::Timeout, 0.0),
+        };
+        self.later(at + took, What::Told { limiter, life, name, outcome, total, took });
+    }
+
+    /// A call reaches a keeper.
+    fn reach(&mut self, view: usize, name: &str, add: f64, lives: f64) -> (Answer, f64) {
+        *self.calls.entry(self.now as u64).or_default() += 1;
+        let keeper = &mut self.keepers[view];
+        if keeper.silent {
+            return (Answer::None, TIMEOUT);
+        }
+        let total = keeper.add(self.now, name, add, lives);
+        let took = CALL + keeper.slow;
+        // An answer that comes after the call was given up finds nobody; it was added all the same.
+        if took > TIMEOUT {
+            (Answer::None, TIMEOUT)
+        } else {
+            (Answer::Total(total), took)
+        }
+    }
+
+    fn change(&mut self, change: Change) {
+        let rng = &mut self.rng;
+        match change {
+            Change::Silent(on) => self.keepers.iter_mut().for_each(|k| k.silent = on),
+            Change::Slow(by) => self.keepers.iter_mut().for_each(|k| k.slow = by),
+            Change::Stale(on) => {
+                for k in &mut self.keepers {
+                    k.stale = on.then(|| k.numbers.clone());
+                }
+            }
+            Change::Doubled(on) => self.keepers.iter_mut().for_each(|k| k.doubled = on),
+            Change::Lose(share) => self.keepers[0] = self.keepers[0].part(1.0 - share, rng),
+            Change::Split { from, kept } => {
+                let second = self.keepers[0].part(kept, rng);
+                self.keepers.truncate(1);
+                self.keepers.push(second);
+                self.gateways.iter_mut().skip(from).for_each(|g| g.view = 1);
+            }
+            Change::Heal { both } => {
+                self.gateways.iter_mut().for_each(|g| g.view = 0);
+                for (name, (total, until)) in
+                    self.keepers.drain(1..).flat_map(|k| k.numbers).collect::<Vec<_>>()
+                {
+                    if both {
+                        self.keepers[0].numbers.entry(name).or_insert((0.0, until)).0 += total;
+                    }
+                }
+            }
+            Change::Swap { kept } => self.keepers[0] = self.keepers[0].part(kept, rng),
+            Change::Restart(n) => {
+                self.gateways[n].life += 1;
+                self.gateways[n].limiter = self.fresh(n, self.gateways[n].life);
+                self.start(n);
+                if self.judged {
+                    self.judge(n);
+                }
+            }
+            Change::Pause(n, seconds) => self.gateways[n].paused = self.now + seconds,
+        }
+    }
+}
