--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -119,6 +119,7 @@
             News::Counted { name, outcome, total, took } => {
                 self.feed(Event::Counted { name, outcome, total, took: took.as_secs_f64() });
             }
+            News::KeeperView(share) => self.feed(Event::KeeperView { share }),
             News::Probed(server, outcome, report) => self.feed(Event::Probed { server, outcome, report }),
             News::Listed { whole, servers, version } => {
                 self.version = version;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -22,10 +22,12 @@
 use inbox::Inbox;
 use liftrouter_decision::Settings;
 use liftrouter_inventory::Form;
+use liftrouter_keeper::Terms;
 use membership::discovery::{Discovery, Update};
 use membership::file;
 use operator::Operator;
 use peers::authoriser::Authorisers;
+use peers::judging;
 use peers::keeper::{self, Keeper};
 use peers::servers::Servers;
 use serde::de::DeserializeOwned;
@@ -276,6 +278,7 @@
     let keeper = Rc::new(Keeper::new(config.counter, &settings));
     let list = Rc::new(Discovery::new(discovery));
     let peers = Peers { servers: servers.clone(), keeper: keeper.clone(), list: list.clone() };
+    let (me, limiters) = (settings.me, settings.peers.max(1));
     let host = Host::new(settings.clone(), seed, inbox.clone(), peers);
     let memory = config.limits.memory_mb.filter(|mb| *mb > 0.0).unwrap_or(MEMORY_MB_DEFAULT);
     let bodies = (memory * BODY_SHARE * 1024.0 * 1024.0) as usize;
@@ -283,6 +286,10 @@
     let gate = Gate::new(inbox.clone(), settings, bodies, authorisers);
     let clients = Clients::new(gate.clone(), budget - budget / 2);
 
+    if let Some(terms) = operator.keeper {
+        let terms = Terms { me, limiters, tag: seed, ..terms };
+        spawn_local(judging::judge(keeper.clone(), inbox.clone(), terms));
+    }
     spawn_local(host.run());
     spawn_local(async move { servers.sweep().await });
     // Told when the first list is there, if one has to be waited for.
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -7,6 +7,7 @@
 use liftrouter_authz::{BreakerPolicy, FrameLimits, Mapping, Rules};
 use liftrouter_decision::Settings;
 use liftrouter_inventory::{Form, Policy};
+use liftrouter_keeper::Terms;
 use serde::Deserialize;
 use std::collections::{BTreeMap, HashMap};
 use std::path::{Path, PathBuf};
@@ -20,6 +21,17 @@
     grpc: Option<GrpcFile>,
     #[serde(default)]
     authoriser: Vec<AuthoriserFile>,
+    keeper: Option<KeeperFile>,
+}
+
+/// `[keeper]`: what the keeper says is judged by calls of the limiter's own.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct KeeperFile {
+    every_ms: Option<Spanned<u64>>,
+    roll_ms: Option<Spanned<u64>>,
+    misses: Option<Spanned<u64>>,
+    sure: Option<Spanned<u64>>,
 }
 
 /// `[[authoriser]]`: a service that is asked about requests of some classes first.
@@ -78,6 +90,8 @@
     pub grpc: Option<Grpc>,
     /// Who is asked first; their classes are still to be checked.
     pub authorisers: Vec<Asked>,
+    /// How the keeper is judged, if it is; who judges is still to be told.
+    pub keeper: Option<Terms>,
     /// Where each class of an authoriser stands.
     places: Vec<(String, String)>,
 }
@@ -140,6 +154,7 @@
     Ok(Operator {
         authorisers: authorisers.collect::<Result<_, _>>()?,
         places,
+        keeper: file.keeper.map(|k| keeper(&place, k)).transpose()?,
         inventory: file.inventory.map(|i| inventory(&place, i)).transpose()?,
         grpc: file.grpc.map(|g| grpc(&place, g)).transpose()?,
     })
@@ -215,6 +230,24 @@
     Ok(Source { path, form, policy: Policy { quiet, most_removed }, poll })
 }
 
+fn keeper(place: &Place, k: KeeperFile) -> Result<Terms, String> {
+    let at = k.roll_ms.as_ref().map_or(0, |r| r.span().start);
+    let every = place.number(k.every_ms, ("every_ms", "milliseconds"), 50..=3_000, 1_000)?;
+    let roll = place.number(k.roll_ms, ("roll_ms", "milliseconds"), 250..=15_000, 5 * every)?;
+    if roll < 5 * every {
+        // Each roll is called once and read once, with a canary between.
+        let what = format!("roll_ms is {roll}, expected five times every_ms ({every}) at least");
+        return Err(place.fault(at, what));
+    }
+    Ok(Terms {
+        every: every as f64 / 1e3,
+        stretch: roll as f64 / 1e3,
+        misses: place.number(k.misses, ("misses", "calls in a row"), 1..=100, 3)? as u32,
+        sure: place.number(k.sure, ("sure", "answers in a row"), 1..=100, 2)? as u32,
+        ..Terms::default()
+    })
+}
+
 fn authoriser(place: &Place, a: AuthoriserFile, places: &mut Vec<(String, String)>) -> Result<Asked, String> {
     let address = a.address.get_ref().parse().map_err(|_| {
         let what = format!("address is {:?}, expected an address and a port", a.address.get_ref());
--- a/crates/daemon/src/peers/keeper.rs
+++ b/crates/daemon/src/peers/keeper.rs
@@ -1,6 +1,7 @@
 //! The counter service: adds to a named number and reads it, on a few kept connections.
 
 use super::link::{Failure, Link};
+use crate::count::Count;
 use crate::inbox::{Inbox, News};
 use crate::log;
 use http_body_util::Full;
@@ -87,15 +88,33 @@
             let (outcome, total, link) = keeper.run(address, &name, add, lives).await;
             keeper.out.set(keeper.out.get() - 1);
             inbox.push(News::Counted { name, outcome, total, took: began.elapsed() });
-            if let Some(mut link) = link {
-                if link.settle().await && keeper.address.get() == Some(address) {
-                    keeper.idle.borrow_mut().push(link);
-                }
-            }
+            keeper.keep(address, link).await;
         });
         Ok(())
     }
 
+    /// Makes a call and waits for its end. Where as many are out as may be, nothing is called.
+    pub async fn ask(self: &Rc<Self>, name: &str, add: f64, lives: f64) -> (Outcome, f64) {
+        let Some(address) = self.address.get().filter(|_| self.out.get() < CALLS) else {
+            return (Outcome::ConnectFailed, 0.0);
+        };
+        let (outcome, total, link) = {
+            let _out = Count::new(&self.out);
+            self.run(address, name, add, lives).await
+        };
+        self.keep(address, link).await;
+        (outcome, total)
+    }
+
+    /// Keeps a link for further calls, if it can take them.
+    async fn keep(&self, address: SocketAddr, link: Option<Link>) {
+        if let Some(mut link) = link {
+            if link.settle().await && self.address.get() == Some(address) {
+                self.idle.borrow_mut().push(link);
+            }
+        }
+    }
+
     async fn run(
         &self,
         address: SocketAddr,
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -287,8 +287,21 @@
 
     /// Starts it with an operator's own file, and does not wait.
     pub fn with_operator(operator: &std::path::Path, settings: Value, discovery: SocketAddr) -> Limiter {
-        let config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "00000000000000ff",
+        Limiter::with_operator_and_counter(operator, settings, discovery, None)
+    }
+
+    /// The same, with a counter if there is one.
+    pub fn with_operator_and_counter(
+        operator: &std::path::Path,
+        settings: Value,
+        discovery: SocketAddr,
+        counter: Option<SocketAddr>,
+    ) -> Limiter {
+        let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "00000000000000ff",
             "discovery": discovery.to_string(), "settings": settings});
+        if let Some(counter) = counter {
+            config["counter"] = json!(counter.to_string());
+        }
         let file = scratch(&config.to_string());
         let mut command = command();
         command.arg("--operator").arg(operator);
--- a/crates/decision/src/policy/fleet.rs
+++ b/crates/decision/src/policy/fleet.rs
@@ -237,8 +237,8 @@
         s.away[class] = if late { s.away[class] } else { (0, now) };
     }
 
-    /// A server turned work away: it answers soon, and would else look like the least busy. The first time, as
-    /// far as anyone can tell, it is full. Again, with no good answer of that class between, it may be the
+    /// A server turned work away: it answers soon, and would else look like the least busy. The first time it
+    /// is full, as far as anyone can tell. Again, with no good answer of that class between, it may be the
     /// class that it cannot serve now: that says nothing of the others, and closes no window. True the first
     /// time.
     pub fn turned_away(&mut self, view: View, id: &ServerId, class: usize) -> bool {
--- a/crates/keeper/src/judge.rs
+++ b/crates/keeper/src/judge.rs
@@ -61,8 +61,8 @@
 impl fmt::Display for Evidence {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Evidence::New => "not heard yet",
-            Evidence::Sound => "sound",
+            Evidence::New => "has not been heard",
+            Evidence::Sound => "is sound",
             Evidence::Down => "gives no answers",
             Evidence::Lost => "has lost its counts",
             Evidence::Behind => "came back with older counts",
@@ -86,7 +86,11 @@
 
 impl fmt::Display for View {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "the keeper {}, shared by {} limiters; share {:.2}", self.evidence, self.seen, self.share)
+        write!(
+            f,
+            "the keeper {}; limiters on its roll: {}; share {:.2}",
+            self.evidence, self.seen, self.share
+        )
     }
 }
 
