--- a/crates/simulator/tests/wire.rs
+++ b/crates/simulator/tests/wire.rs
@@ -62,7 +62,7 @@
         + "TURN 11 2\n"
         + drained
         + "SUBMIT 0 5 0 0 14.5 2 1 0 plain read key:a\nOVER_TO_YOU\n"));
-    assert!(stdout(&out).contains("SAY_NO 0 5 0\n"), "{}", stdout(&out));
+    assert!(stdout(&out).contains("SAY_NO 0 5 0.2\n"), "{}", stdout(&out));
     let late = "TURN 11 2\nSUBMIT 0 5 0 0 14.5 2 1 0 plain read key:a\nOVER_TO_YOU\nTURN 14.5 3\nALARM 0 21\nOVER_TO_YOU\n";
     let out = run(&(start() + late));
     assert!(stdout(&out).contains("END_FAILED 0 5\nSTOP_ATTEMPT 0 5 0\n"), "{}", stdout(&out));
