--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -382,6 +382,10 @@
         Client { reader: BufReader::new(stream.try_clone().expect("clone")), stream }
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
