Read once more: believed totals and waiting answers decided in one place, one event for no send

Cause: the change of quotas over hundreds of limiters looked for believed totals twice in each decision (refill and grant), had the test for waiting answers twice in fleet.rs (pace, pooled), found how much of the averages was read by dividing by the grain and multiplying again, and its platform test read the table of Unix sockets twice. The model and the daemon's host each wrote the event of an attempt that they did not start. Two comments said something else than the code: the store is overdrawn by one burst at most, and a bucket that the joint store covers for owes nothing.

Change: Customer::believed, once in grant and handed on; waits in fleet.rs; the gain of the averages by itself; Event::never_sent for both hosts; one reader of the socket tables. The same assertions, bounds and constants.

The mean of what was read may differ in its last bit where few see a partner.

--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -13,7 +13,7 @@
 use crate::peers::servers::{Attempt, Place, Servers};
 use clock::Clock;
 use liftrouter_decision::{
-    Action, Event, Limiter, LoadReport, Outcome, Request, RequestId, ServerId, ServerState, Settings,
+    Action, Event, Limiter, Outcome, Request, RequestId, ServerId, ServerState, Settings,
 };
 use liftrouter_keeper::Wake;
 use std::cmp::Reverse;
@@ -311,15 +311,7 @@
             open.reply.is_some() && open.running.is_none() && n < self.max_attempts && timeout >= 0.0
         });
         let Some(forward) = forward else {
-            return self.queue.push_back(Event::AttemptEnded {
-                id,
-                attempt: n,
-                finished: false,
-                outcome: Outcome::Moot,
-                took: 0.0,
-                units: None,
-                report: LoadReport::default(),
-            });
+            return self.queue.push_back(Event::never_sent(id, n));
         };
         let (began, due) = (Instant::now(), forward.due);
         let limit =
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -15,26 +15,30 @@
     targets.filter_map(|t| Some(t.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned())).collect()
 }
 
-/// The inodes that the kernel lists for a kind of socket, by the column in which it has them.
-fn inodes(pid: u32, kind: &str, column: usize) -> HashSet<String> {
+/// The inodes that the kernel lists for a kind of socket, by the column in which it has them, in lines of more
+/// than so many columns.
+fn inodes(pid: u32, kind: &str, column: usize, more_than: usize) -> HashSet<String> {
     let table = fs::read_to_string(format!("/proc/{pid}/net/{kind}")).unwrap_or_default();
-    table.lines().skip(1).filter_map(|l| Some(l.split_whitespace().nth(column)?.to_owned())).collect()
+    let lines = table.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
+    lines.filter(|l| l.len() > more_than).map(|l| l[column].to_owned()).collect()
+}
+
+/// Those of a kind of socket over IP.
+fn over_ip(pid: u32, kind: &str) -> HashSet<String> {
+    inodes(pid, kind, 9, 9)
 }
 
 fn keeps_to_the_platform(pid: u32) {
     let children = fs::read_to_string(format!("/proc/{pid}/task/{pid}/children")).expect("its children");
     assert_eq!(children.trim(), "", "it started other processes");
-    let (held, unix) = (sockets(pid), inodes(pid, "unix", 6));
-    let ours: HashSet<_> = inodes(pid, "tcp", 9).union(&inodes(pid, "udp", 9)).cloned().collect();
+    let held = sockets(pid);
+    let ours: HashSet<_> = over_ip(pid, "tcp").union(&over_ip(pid, "udp")).cloned().collect();
     assert!(!held.is_disjoint(&ours), "its listener is found, else this looks at the wrong place");
     // The runtime's own pair for signals leads nowhere else: nobody can come to a socket without a name.
-    let named = fs::read_to_string(format!("/proc/{pid}/net/unix")).unwrap_or_default();
-    let named: Vec<_> = named.lines().skip(1).filter(|l| l.split_whitespace().count() > 7).collect();
-    for socket in held.intersection(&unix) {
-        assert!(!named.iter().any(|l| l.split_whitespace().nth(6) == Some(socket)), "{socket} has a name");
-    }
+    // A line of the table has seven columns, and the name, where there is one, as an eighth.
+    assert!(held.is_disjoint(&inodes(pid, "unix", 6, 7)), "a Unix socket has a name");
     for kind in ["tcp6", "udp6"] {
-        assert!(held.is_disjoint(&inodes(pid, kind, 9)), "a socket of {kind}");
+        assert!(held.is_disjoint(&over_ip(pid, kind)), "a socket of {kind}");
     }
     let maps = fs::read_to_string(format!("/proc/{pid}/maps")).expect("its maps");
     assert!(maps.contains("libc.so"), "the C library is linked dynamically");
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -300,6 +300,21 @@
     },
 }
 
+impl Event {
+    /// How an attempt ended that a host did not start, since the rules forbid it: it never ran.
+    pub fn never_sent(id: RequestId, attempt: u32) -> Event {
+        Event::AttemptEnded {
+            id,
+            attempt,
+            finished: false,
+            outcome: Outcome::Moot,
+            took: 0.0,
+            units: None,
+            report: LoadReport::default(),
+        }
+    }
+}
+
 /// What the host is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/crates/decision/src/policy/fleet.rs
+++ b/crates/decision/src/policy/fleet.rs
@@ -135,6 +135,11 @@
     set.classes.iter().map(|c| c.aim).fold(f64::MAX, f64::min).min(10.0)
 }
 
+/// Whether answers that take so long, against the work's own part, wait at the servers.
+fn waits(lag: f64, rest: f64) -> bool {
+    lag > OPEN_LAG * rest
+}
+
 /// What a request asks of its server.
 pub struct Wanted<'a> {
     pub class: usize,
@@ -276,7 +281,7 @@
             }
             let full = f64::from(f.out + 2) > f.room * f.open || f.open < 1.0;
             let grow = if full { OPEN_STEP.0 } else { 1.0 };
-            f.open *= if f.lag > OPEN_LAG * f.rest { OPEN_STEP.1 } else { grow };
+            f.open *= if waits(f.lag, f.rest) { OPEN_STEP.1 } else { grow };
             f.open = f.open.clamp(OPEN.0, OPEN.1);
         }
         let latency = f.lag / f.rest * s.slow;
@@ -360,7 +365,7 @@
     fn pooled(&self) -> bool {
         let room = self.room * self.open;
         // Where answers wait no server idles: after a loss of servers every peak would be one too many.
-        let peaks = if self.lag > OPEN_LAG * self.rest { 0.0 } else { self.scatter * room.sqrt() };
+        let peaks = if waits(self.lag, self.rest) { 0.0 } else { self.scatter * room.sqrt() };
         f64::from(self.out) + 1.0 <= (room + peaks).max(1.0)
     }
 
--- a/crates/decision/src/policy/quota.rs
+++ b/crates/decision/src/policy/quota.rs
@@ -56,7 +56,7 @@
     filled: f64,
     ceiling: f64,
     out: u32,
-    /// What the last news left in the store that all limiters draw from, at least one burst overdrawn.
+    /// What the last news left in the store that all limiters draw from, overdrawn by one burst at most.
     store: f64,
     /// News for the counter: units used and refused.
     used: f64,
@@ -91,6 +91,11 @@
         self.totals.filter(|_| !self.lost)
     }
 
+    /// The totals that a share of the quota is divided by: not old, and of a counter that is believed.
+    fn believed(&self, share: f64, now: f64) -> Option<Totals> {
+        self.known().filter(|t| share > 0.0 && now - t.at <= STALE * NAME_TIME)
+    }
+
     /// Whether this limiter's even share of the plan's burst is less than a unit.
     fn thin(&self, plan: &Plan) -> bool {
         plan.depth < self.width
@@ -115,8 +120,7 @@
 
     /// Refills the bucket and the ceiling's share; gives the limit and what the bucket may borrow.
     /// Tokens above a lowered depth are kept.
-    fn refill(&mut self, plan: &Plan, units: f64, share: f64, now: f64) -> (f64, f64) {
-        let known = self.known().filter(|t| share > 0.0 && now - t.at <= STALE * NAME_TIME);
+    fn refill(&mut self, plan: &Plan, units: f64, share: f64, known: Option<Totals>, now: f64) -> (f64, f64) {
         let limit = limit(plan.rate, share, self.width, units, known);
         let burst = limit * plan.depth / plan.rate.max(1e-9);
         let filled = self.tokens + limit * (now - self.filled);
@@ -267,7 +271,8 @@
         let Some((key, epoch, own_used, own_refused)) = self.calls.remove(name) else { return };
         let Some(c) = self.customers.get_mut(&key) else { return };
         c.calling = false;
-        let grain = Self::grain(&set.plans[c.plan]);
+        let plan = &set.plans[c.plan];
+        let grain = Self::grain(plan);
         if !ok {
             if outcome != Outcome::Timeout {
                 c.used += own_used * grain;
@@ -292,11 +297,11 @@
         if c.lost {
             return;
         }
-        let plan = &set.plans[c.plan];
         c.learn_store(plan, plan.rate * self.view, used * grain, (before, start, now));
         c.gap = fresh(c.gap, own_span, GAP_GAIN);
         let memory = (MEMORY.0 * c.gap).clamp(MEMORY.0 * PERIOD, MEMORY.1 * NAME_TIME);
-        let mean = |old, steps, span: f64| fresh(old, steps * grain / span, 1.0 - (-span / memory).exp());
+        let gain = |span: f64| 1.0 - (-span / memory).exp();
+        let mean = |old, steps, span| fresh(old, steps * grain / span, gain(span));
         let t = c.totals.unwrap_or_default();
         c.totals = Some(Totals {
             own: mean(t.own, own_used + own_refused, own_span),
@@ -304,7 +309,7 @@
             used: mean(t.used, used, span),
             at: now,
             memory,
-            read: mean(t.read, span / grain, span),
+            read: fresh(t.read, 1.0, gain(span)),
         });
     }
 
@@ -329,14 +334,14 @@
         let share = if self.counter_misses < COUNTER_MISSES { self.view } else { 0.0 };
         let Some(c) = self.customers.get_mut(key) else { return Err(0.0) };
         let plan = &set.plans[c.plan];
-        let (limit, loan) = c.refill(plan, units, share, now);
-        let known = c.known().filter(|t| share > 0.0 && now - t.at <= STALE * NAME_TIME);
+        let known = c.believed(share, now);
+        let (limit, loan) = c.refill(plan, units, share, known, now);
         if let Some(t) = known.filter(|_| plan.rate > 0.0 && c.thin(plan)) {
             if rng.f64() >= c.part(plan, share, t) {
                 let missing = units + STEER.0 * plan.depth - c.store;
                 return Err((missing / (plan.rate * share)).max(PERIOD));
             }
-            // It draws on the joint store; the bucket keeps what it has for when totals are missing.
+            // The joint store covers it: the bucket, which serves while totals are missing, owes nothing.
             c.tokens = c.tokens.max(units);
         } else if plan.rate > 0.0 && c.tokens + loan < units {
             // Where the quota is idle, the next news of the totals is worth more than the wait for tokens.
--- a/crates/model/src/limiters.rs
+++ b/crates/model/src/limiters.rs
@@ -424,15 +424,7 @@
         // As the host guards the rules, even against the module.
         let may = !asked.permission && asked.owed && asked.running.is_none() && n < most && timeout >= 0.0;
         let Some(node) = Self::node_of(server).filter(|_| may) else {
-            return events.push_back(Event::AttemptEnded {
-                id,
-                attempt: n,
-                finished: false,
-                outcome: Outcome::Moot,
-                took: 0.0,
-                units: None,
-                report: LoadReport::default(),
-            });
+            return events.push_back(Event::never_sent(id, n));
         };
         let key = self.attempts.len();
         let limit = if timeout > 0.0 { asked.due.min(now + micros(timeout.min(1e6))) } else { asked.due };
