--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -5,7 +5,8 @@
 use liftrouter_model::{fits, Figures};
 use liftrouter_stage::scenario::{Problem, Scenario};
 use serde::Deserialize;
-use std::path::Path;
+use std::iter;
+use std::path::{Path, PathBuf};
 use toml::{Spanned, Table, Value};
 
 /// The most cells of an experiment, and seeds of a cell.
@@ -13,6 +14,8 @@
 const MOST_SEEDS: u64 = 100_000;
 /// Keys of the model's figures begin with this; all others are the scenario's.
 const MODEL: &str = "model.";
+/// The key whose values are scenario files, which take the place of the experiment's own.
+const SCENARIO: &str = "scenario";
 
 /// The file.
 #[derive(Clone, Debug, Deserialize)]
@@ -61,7 +64,8 @@
 /// A key that is varied.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Factor {
-    /// Its path: `limiters.count`, `class.price-quote.work_ms`, `fault.0.for_s`, `model.wire_us`.
+    /// Its path: `limiters.count`, `class.price-quote.work_ms`, `fault.0.for_s`, `model.wire_us`; or `scenario`, whose
+    /// values are files, each in place of the experiment's own.
     pub key: String,
     /// What it is set to.
     pub values: Vec<Value>,
@@ -180,20 +184,29 @@
         if cells > MOST_CELLS {
             problems.push(Problem::whole(file, format!("{cells} cells, expected {MOST_CELLS} at most")));
         }
-        let path = folder.join(read.scenario.get_ref());
-        let base = std::fs::read_to_string(&path).map_err(|e| {
-            let what = format!("{}: cannot be read: {e}", path.display());
-            Problem::at(file, text, Some(read.scenario.span()), what)
+        let mut bases = Bases::default();
+        let scenarios = read.factors.iter().filter(|f| f.key.get_ref() == SCENARIO).flat_map(|f| {
+            let span = f.values.span();
+            f.values.get_ref().iter().map(move |v| (v.as_str().unwrap_or_default().to_string(), span.clone()))
         });
-        let base = match base {
-            Ok(base) if problems.is_empty() => base,
-            Ok(_) => return Err(problems),
-            Err(problem) => {
-                problems.push(problem);
-                return Err(problems);
+        for (name, span) in
+            iter::once((read.scenario.get_ref().clone(), read.scenario.span())).chain(scenarios)
+        {
+            let path = folder.join(&name);
+            match std::fs::read_to_string(&path) {
+                Ok(text) => bases.0.push((name, path, text)),
+                Err(e) => {
+                    let what = format!("{}: cannot be read: {e}", path.display());
+                    problems.push(Problem::at(file, text, Some(span), what));
+                }
             }
-        };
-        Scenario::parse(&path.display().to_string(), &base)?;
+        }
+        if !problems.is_empty() {
+            return Err(problems);
+        }
+        for (_, path, base) in &bases.0 {
+            Scenario::parse(&path.display().to_string(), base)?;
+        }
         let factors: Vec<Factor> = read
             .factors
             .iter()
@@ -201,11 +214,11 @@
             .collect();
         let mut made = Vec::with_capacity(cells);
         for nth in 0..cells {
-            match cell(&factors, nth, &base, &path) {
+            match cell(&factors, nth, &bases) {
                 Ok(cell) => made.push(cell),
                 // The factor whose value does not fit is the first that does not by itself.
                 Err(why) => {
-                    let alone = |n: usize| single(&factors, n, nth, &base, &path).is_err();
+                    let alone = |n: usize| single(&factors, n, nth, &bases).is_err();
                     let at = (0..factors.len()).find(|n| alone(*n)).unwrap_or(0);
                     let span = read.factors.get(at).map(|f| f.key.span());
                     problems.push(Problem::at(file, text, span, why));
@@ -217,9 +230,8 @@
             return Err(problems);
         }
         let mut mark = crc32fast::Hasher::new();
-        for part in [text, &base] {
-            mark.update(part.as_bytes());
-        }
+        mark.update(text.as_bytes());
+        bases.0.iter().for_each(|(.., base)| mark.update(base.as_bytes()));
         Ok(Experiment {
             name: read.name,
             about: read.about,
@@ -251,24 +263,41 @@
     at
 }
 
-fn cell(factors: &[Factor], nth: usize, base: &str, path: &Path) -> Result<Cell, String> {
+/// The scenarios: name, path and text; the experiment's own first.
+#[derive(Default)]
+struct Bases(Vec<(String, PathBuf, String)>);
+
+impl Bases {
+    /// The one that some values name, else the first.
+    fn of(&self, values: &[(&str, &Value)]) -> Result<(&Path, &str), String> {
+        let named = values.iter().find(|(key, _)| *key == SCENARIO).map(|(_, value)| value.as_str());
+        let found = match named {
+            Some(name) => self.0.iter().find(|base| Some(base.0.as_str()) == name),
+            None => self.0.first(),
+        };
+        found.map(|(_, path, text)| (path.as_path(), text.as_str())).ok_or("no such scenario".into())
+    }
+}
+
+fn cell(factors: &[Factor], nth: usize, bases: &Bases) -> Result<Cell, String> {
     let at = places(factors, nth);
     let values: Vec<(&str, &Value)> =
         factors.iter().zip(&at).map(|(f, v)| (f.key.as_str(), &f.values[*v])).collect();
-    let (scenario, figures) = apply(&values, base, path)?;
+    let (scenario, figures) = apply(&values, bases)?;
     let words: Vec<String> = values.iter().map(|(key, value)| format!("{key} = {value}")).collect();
     Ok(Cell { at, name: words.join(", "), scenario, figures })
 }
 
-fn single(factors: &[Factor], factor: usize, nth: usize, base: &str, path: &Path) -> Result<(), String> {
+fn single(factors: &[Factor], factor: usize, nth: usize, bases: &Bases) -> Result<(), String> {
     let value = &factors[factor].values[places(factors, nth)[factor]];
-    apply(&[(&factors[factor].key, value)], base, path).map(drop)
+    apply(&[(&factors[factor].key, value)], bases).map(drop)
 }
 
-fn apply(values: &[(&str, &Value)], base: &str, path: &Path) -> Result<(Scenario, Figures), String> {
+fn apply(values: &[(&str, &Value)], bases: &Bases) -> Result<(Scenario, Figures), String> {
+    let (path, base) = bases.of(values)?;
     let mut scenario: Table = base.parse().map_err(|e: toml::de::Error| e.message().to_string())?;
     let mut figures = Table::try_from(Figures::default()).map_err(|e| e.to_string())?;
-    for (key, value) in values {
+    for (key, value) in values.iter().filter(|(key, _)| *key != SCENARIO) {
         let words = format!("{key} = {value}");
         match key.strip_prefix(MODEL) {
             Some(key) if figures.contains_key(key) => drop(figures.insert(key.into(), (*value).clone())),
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -229,3 +229,29 @@
     assert!(Results::read(&path).expect("read").runs.is_empty());
     std::fs::remove_dir_all(folder).expect("removed");
 }
+
+#[test]
+fn a_factor_may_be_the_scenario_itself() {
+    let folder = folder();
+    let other = SCENARIO.replacen("length_s = ", "length_s = 1", 1);
+    assert_ne!(other, SCENARIO);
+    std::fs::write(folder.join("longer.toml"), &other).expect("written");
+    let text = EXPERIMENT.replacen("limiters.count", "scenario", 1).replacen(
+        "[2, 3]",
+        "[\"small.toml\", \"longer.toml\"]",
+        1,
+    );
+    let e = parsed(&text, &folder).expect("good");
+    let lengths: Vec<f64> = e.cells.iter().map(|cell| cell.scenario.length_s).collect();
+    assert!(lengths[0] == lengths[1] && lengths[2] == lengths[3] && lengths[2] > lengths[0], "{lengths:?}");
+    // What another file says belongs to the results as the experiment's own does.
+    std::fs::write(folder.join("longer.toml"), format!("{other}\n# another\n")).expect("written");
+    assert_ne!(parsed(&text, &folder).expect("good").mark, e.mark);
+    let missing = text.replacen("longer.toml", "none.toml", 1);
+    let problems = parsed(&missing, &folder).expect_err("it is not there");
+    assert!(
+        problems[0].starts_with("e.toml:8:10: ") && problems[0].contains("cannot be read"),
+        "{problems:?}"
+    );
+    std::fs::remove_dir_all(folder).expect("removed");
+}
--- a/crates/model/tests/scenarios.rs
+++ b/crates/model/tests/scenarios.rs
@@ -115,3 +115,23 @@
     assert_eq!(j.counts.open, 0);
     assert!(j.counts.refused + j.counts.refused_advised > j.counts.served, "{:?}", j.counts);
 }
+
+/// A day of the large fleet, played by an eighth of it.
+fn eighth(name: &str) -> Scenario {
+    let mut day = scenario(&format!("fleet/{name}.toml"));
+    day.limiters.count /= 8;
+    day.nodes.count /= 8;
+    day.load.tries_per_s /= 8.0;
+    day.load.spread /= 8;
+    day.keeper.calls_per_s /= 8.0;
+    day
+}
+
+#[test]
+fn the_days_of_a_large_fleet_keep_all_rules() {
+    for name in ["calm", "roll", "herd", "zone", "split", "join"] {
+        let j = judged(&eighth(name), 2);
+        assert_eq!(j.verdict, Verdict::Kept, "{name}: {:?} {:?}", j.breaks.first(), j.unjudged);
+        assert!(j.service.whole > 0.7, "{name}: {:?}", j.service);
+    }
+}
--- a/crates/stage/src/scenario/check.rs
+++ b/crates/stage/src/scenario/check.rs
@@ -201,6 +201,9 @@
         c.number(("plan", n, "price"), plan.price, 0.0, 1e6);
         c.number(("plan", n, "over_cost"), plan.over_cost, 0.0, 10.0);
         c.number(("plan", n, "ceiling"), plan.ceiling, 0.0, 100.0);
+        if let Some(spread) = plan.spread {
+            c.number(("plan", n, "spread"), spread as f64, 1.0, 5_000.0);
+        }
     }
     let names = s.rooms.iter().map(|r| ("rooms", r)).chain(s.classes.iter().map(|k| ("class", &k.name)));
     let names: Vec<_> = names.chain(s.plans.iter().map(|p| ("plan", &p.name))).collect();
@@ -235,6 +238,31 @@
     c.problems
 }
 
+/// What strikes several at once.
+fn check_several(c: &mut Checker, about: &super::faults::About, f: &super::Fault) {
+    let several = matches!(about.victim, Victim::Node | Victim::Limiter);
+    if let Some(share) = &f.share {
+        if !several {
+            let what = format!("share is given, but {} strikes neither nodes nor limiters", about.name);
+            c.say(Some(share.span()), what);
+        } else if f.victim.is_some() {
+            c.say(Some(share.span()), "share is given beside victim, expected one of them".into());
+        } else if !(*share.get_ref() > 0.0 && *share.get_ref() <= 1.0) {
+            let found = share.get_ref();
+            c.say(Some(share.span()), format!("share is {found}, expected more than 0 and 1 at most"));
+        }
+    }
+    if let Some(within) = &f.within_s {
+        if !several {
+            let what = format!("within_s is given, but {} strikes neither nodes nor limiters", about.name);
+            c.say(Some(within.span()), what);
+        } else if !(0.0..=LONGEST).contains(within.get_ref()) {
+            let found = within.get_ref();
+            c.say(Some(within.span()), format!("within_s is {found}, expected 0 to {LONGEST}"));
+        }
+    }
+}
+
 fn check_fault(c: &mut Checker, s: &Scenario, fault: &toml::Spanned<super::Fault>) {
     let f = fault.get_ref();
     let Some(kind) = Kind::named(f.what.get_ref()) else {
@@ -253,10 +281,11 @@
         }
         (None, false) => {}
     }
+    check_several(c, about, f);
     if let Some(victim) = &f.victim {
         let names = match about.victim {
-            Victim::Node => s.node_names(),
-            Victim::Limiter => s.limiter_names(),
+            Victim::Node => [s.node_names(), s.rooms.clone()].concat(),
+            Victim::Limiter => [s.limiter_names(), s.rooms.clone()].concat(),
             Victim::Room => s.rooms.clone(),
             Victim::Keeper => s.keeper_names(),
             Victim::None => Vec::new(),
--- a/crates/stage/src/scenario/mod.rs
+++ b/crates/stage/src/scenario/mod.rs
@@ -398,6 +398,8 @@
     /// Hard ceiling, in times the quota; 0: none.
     #[serde(default)]
     pub ceiling: f64,
+    /// Limiters that its customers' requests come through; as `load.spread` where it is left out.
+    pub spread: Option<usize>,
 }
 
 fn one() -> f64 {
@@ -414,8 +416,14 @@
     pub at_s: Spanned<Range>,
     /// How long it lasts; needed for all that lasts.
     pub for_s: Option<Spanned<Range>>,
-    /// The victim: a node (`s-0` ...), a limiter (`n0` ...) or a room. Drawn where it is left out.
+    /// The victim: a node (`s-0` ...), a limiter (`n0` ...) or a room. Drawn where it is left out. For faults of nodes and
+    /// limiters a room stands for all of them in it.
     pub victim: Option<Spanned<String>>,
+    /// In place of one victim, this share of all of them, drawn; each further time strikes the next ones, so that
+    /// `share = 0.1` and `times = 10` strike each once.
+    pub share: Option<Spanned<f64>>,
+    /// Where there are several victims, the seconds over which their faults begin, evenly. All at once where it is left out.
+    pub within_s: Option<Spanned<f64>>,
     /// For faults of links: the other end, `keeper`, `list` or a node. All of them where it is left out.
     pub peer: Option<Spanned<String>>,
     /// How strong it is; what it means goes with the kind.
--- a/crates/stage/src/schedule.rs
+++ b/crates/stage/src/schedule.rs
@@ -269,11 +269,11 @@
     let mid = |(a, b): (f64, f64)| (a + b) / 2.0;
     // What a customer asks within its quota in the mean.
     let use_inside = rest * mid(CALM_USE) + FULL * mid(FULL_USE) + s.load.heavy + s.load.spiky * 0.45;
-    let spread = s.load.spread.min(s.limiters.count).max(1);
     let mut customers = Vec::new();
     for (plan, p) in s.plans.iter().enumerate().filter(|(_, p)| p.share > 0.0) {
         let each = p.rate / mean_units() * use_inside.max(0.01);
         let count = (s.load.tries_per_s * p.share / all / each).round().max(1.0) as usize;
+        let spread = p.spread.unwrap_or(s.load.spread).min(s.limiters.count).max(1);
         for _ in 0..count {
             let least = spread.min(2);
             let spread = if spread > least { rng.usize(least..=spread) } else { spread };
@@ -380,8 +380,12 @@
         let fault = fault.get_ref();
         // Checked before: an unknown kind never gets here.
         let Some(kind) = Kind::named(fault.what.get_ref()) else { continue };
+        let many = several(s, fault, kind, rng);
         for nth in 0..fault.times {
-            draw_fault(s, fault, kind, nth, rng, &mut planned);
+            match &many {
+                Some(many) => draw_many(s, fault, kind, (nth, many), rng, &mut planned),
+                None => draw_fault(s, fault, kind, nth, rng, &mut planned),
+            }
         }
     }
     planned.sort_by_key(|p| p.at);
@@ -391,11 +395,80 @@
     planned
 }
 
-fn draw_fault(s: &Scenario, f: &Fault, kind: Kind, nth: usize, rng: &mut Rng, planned: &mut Vec<Planned>) {
-    let about = kind.about();
+/// Those that a fault strikes where it strikes several, in the order in which it does, and how many at a time.
+struct Several {
+    order: Vec<usize>,
+    at_a_time: usize,
+}
+
+fn several(s: &Scenario, f: &Fault, kind: Kind, rng: &mut Rng) -> Option<Several> {
+    let count = match kind.about().victim {
+        Victim::Node => s.nodes.count,
+        Victim::Limiter => s.limiters.count,
+        _ => return None,
+    };
+    if let Some(room) = f.victim.as_ref().and_then(|v| s.rooms.iter().position(|room| room == v.get_ref())) {
+        let order: Vec<usize> = (0..count).filter(|n| n % s.rooms.len() == room).collect();
+        let at_a_time = order.len();
+        return Some(Several { order, at_a_time });
+    }
+    let share = *f.share.as_ref()?.get_ref();
+    let mut order: Vec<usize> = (0..count).collect();
+    rng.shuffle(&mut order);
+    Some(Several { order, at_a_time: ((count as f64 * share).round() as usize).max(1) })
+}
+
+/// When a fault begins for the nth time, and how long it lasts.
+fn draw_times(f: &Fault, nth: usize, rng: &mut Rng) -> (f64, Option<f64>) {
     let range = |rng: &mut Rng, r: Range| within(rng, r.ends());
     let at = range(rng, *f.at_s.get_ref()) + nth as f64 * f.every_s.as_ref().map_or(0.0, |e| *e.get_ref());
-    let lasts = f.for_s.as_ref().map(|r| range(rng, *r.get_ref()));
+    (at, f.for_s.as_ref().map(|r| range(rng, *r.get_ref())))
+}
+
+fn draw_size(f: &Fault, kind: Kind) -> f64 {
+    let default = kind.about().size.map(|(_, default, _, _)| default);
+    f.size.as_ref().map(|s| *s.get_ref()).or(default).unwrap_or(0.0)
+}
+
+fn peer_of(s: &Scenario, f: &Fault) -> Peer {
+    match f.peer.as_ref().map(|p| p.get_ref().as_str()) {
+        None => Peer::All,
+        Some("keeper") => Peer::Keeper,
+        Some("list") => Peer::List,
+        Some("authoriser") => Peer::Authoriser,
+        Some(node) => Peer::Node(s.node_names().iter().position(|n| n == node).unwrap_or(0)),
+    }
+}
+
+/// One time of a fault that strikes several.
+fn draw_many(
+    s: &Scenario,
+    f: &Fault,
+    kind: Kind,
+    (nth, many): (usize, &Several),
+    rng: &mut Rng,
+    planned: &mut Vec<Planned>,
+) {
+    let (at, lasts) = draw_times(f, nth, rng);
+    let step = f.within_s.as_ref().map_or(0.0, |w| *w.get_ref()) / many.at_a_time.max(1) as f64;
+    let struck = many.order.iter().cycle().skip(nth * many.at_a_time).take(many.at_a_time);
+    for (n, victim) in struck.enumerate() {
+        let at = at + n as f64 * step;
+        planned.push(Planned {
+            id: 0,
+            kind,
+            at: micros(at),
+            until: lasts.map(|l| micros(at + l)),
+            victim: *victim,
+            peer: peer_of(s, f),
+            size: draw_size(f, kind),
+        });
+    }
+}
+
+fn draw_fault(s: &Scenario, f: &Fault, kind: Kind, nth: usize, rng: &mut Rng, planned: &mut Vec<Planned>) {
+    let about = kind.about();
+    let (at, lasts) = draw_times(f, nth, rng);
     let index = |names: &[String], rng: &mut Rng| {
         let drawn = rng.usize(0..names.len());
         let named = f.victim.as_ref().and_then(|v| names.iter().position(|n| n == v.get_ref()));
@@ -412,15 +485,7 @@
         }
         Victim::None => 0,
     };
-    let peer = match f.peer.as_ref().map(|p| p.get_ref().as_str()) {
-        None => Peer::All,
-        Some("keeper") => Peer::Keeper,
-        Some("list") => Peer::List,
-        Some("authoriser") => Peer::Authoriser,
-        Some(node) => Peer::Node(s.node_names().iter().position(|n| n == node).unwrap_or(0)),
-    };
-    let size =
-        f.size.as_ref().map(|s| *s.get_ref()).or(about.size.map(|(_, default, _, _)| default)).unwrap_or(0.0);
+    let (peer, size) = (peer_of(s, f), draw_size(f, kind));
     let until = lasts.map(|l| micros(at + l));
     let one = Planned { id: 0, kind, at: micros(at), until, victim, peer, size };
     if kind != Kind::RollingDeploy {
--- a/crates/stage/tests/schedule.rs
+++ b/crates/stage/tests/schedule.rs
@@ -104,3 +104,48 @@
         .collect();
     assert_eq!(victims.len(), 2);
 }
+
+/// A scenario of twelve limiters and ten nodes in two rooms with one fault.
+fn many(fault: &str) -> liftrouter_stage::scenario::Scenario {
+    let text = format!(
+        r#"
+name = "many"
+length_s = 30.0
+limiters.count = 12
+nodes.count = 10
+load.tries_per_s = 5.0
+class = [{{ name = "quote", share = 1.0, work_ms = 50.0, aim_ms = 500.0, deadline_ms = 2000.0, worth = 1.0, effect = "safe" }}]
+plan = [{{ name = "agency", share = 1.0, rate = 5.0, burst_s = 3.0, price = 1.0 }}]
+[[fault]]
+{fault}"#
+    );
+    liftrouter_stage::scenario::Scenario::parse("many.toml", &text).expect("a scenario")
+}
+
+#[test]
+fn a_share_strikes_each_once_in_turn_and_a_room_all_that_are_in_it() {
+    let turns = "what = \"limiter-terminated\"\nat_s = 2.0\nfor_s = 1.0\nshare = 0.25\ntimes = 4\nevery_s = 5.0\nwithin_s = 1.5";
+    for seed in 0..20 {
+        let faults = draw(&many(turns), seed).faults;
+        let mut struck: Vec<usize> = faults.iter().map(|f| f.victim).collect();
+        struck.sort_unstable();
+        assert_eq!(struck, (0..12).collect::<Vec<_>>(), "four quarters are all of them");
+        let begins: Vec<f64> = faults.iter().take(4).map(|f| seconds(f.at)).collect();
+        assert_eq!(begins, [2.0, 2.5, 3.0, 7.0], "a quarter is three, evenly within 1.5 s");
+    }
+    let all = "what = \"node-vanished\"\nat_s = 3.0\nfor_s = 5.0\nvictim = \"room-b\"";
+    let mut lost: Vec<usize> = draw(&many(all), 1).faults.iter().map(|f| f.victim).collect();
+    lost.sort_unstable();
+    assert_eq!(lost, [1, 3, 5, 7, 9]);
+}
+
+#[test]
+fn a_plan_may_come_through_fewer_limiters_than_others() {
+    let mut scenario = many("what = \"list-silent\"\nat_s = 1.0\nfor_s = 1.0");
+    scenario.load.spread = 12;
+    scenario.load.tries_per_s = 200.0;
+    let widest = |s: &_| draw(s, 3).customers.iter().map(|c| c.spread).max();
+    assert_eq!(widest(&scenario), Some(12));
+    scenario.plans[0].spread = Some(4);
+    assert_eq!(widest(&scenario), Some(4));
+}
