--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -295,7 +295,10 @@
             }
             Action::SetTimer { at, token } => self.timers.push(Reverse((self.clock.instant(at), token))),
             Action::Probe { server } => {
-                tokio::task::spawn_local(self.peers.servers.clone().probe(self.inbox.clone(), server));
+                let probe = self.peers.servers.clone().probe(self.inbox.clone(), server);
+                tokio::task::spawn_local(async move {
+                    let _ = probe.await;
+                });
             }
             Action::FollowServers => self.peers.list.follow.notify_one(),
         }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,6 +6,7 @@
 
 mod count;
 mod fronts;
+mod group;
 mod host;
 mod http2;
 mod inbox;
@@ -19,6 +20,7 @@
 use fronts::gate::Gate;
 use fronts::grpc::{self, Grpc};
 use fronts::http::Clients;
+use group::Group;
 use host::{Host, Peers};
 use inbox::Inbox;
 use liftrouter_decision::Settings;
@@ -36,11 +38,12 @@
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::os::unix::fs::FileTypeExt;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UnixListener};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, LocalSet};
@@ -116,6 +119,15 @@
     /// Works on inventory files. Exit code: 0 done, 1 the file has faults, 2 it cannot be read.
     #[command(subcommand)]
     Inventory(InventoryCommand),
+    /// Asks a limiter that runs who of the others is there, and what it holds. Exit code: 0 done, 2 it cannot be asked.
+    Members {
+        /// The Unix socket that its operator file names, `ask` in `[members]`.
+        #[arg(long, value_name = "PATH")]
+        at: PathBuf,
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 #[derive(Subcommand)]
@@ -157,12 +169,20 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     log::start(cli.log);
-    if let Some(Command::Inventory(command)) = cli.command {
+    if let Some(command) = cli.command {
         let done = match command {
-            InventoryCommand::Check { file, json } => file::check(&file, json),
-            InventoryCommand::Convert { file, to: To::Csv } => file::convert(&file, Form::Csv),
-            InventoryCommand::Convert { file, to: To::Yaml } => file::convert(&file, Form::Yaml),
-            InventoryCommand::Diff { old, new, json } => file::compare(&old, &new, json),
+            Command::Inventory(InventoryCommand::Check { file, json }) => file::check(&file, json),
+            Command::Inventory(InventoryCommand::Convert { file, to: To::Csv }) => {
+                file::convert(&file, Form::Csv)
+            }
+            Command::Inventory(InventoryCommand::Convert { file, to: To::Yaml }) => {
+                file::convert(&file, Form::Yaml)
+            }
+            Command::Inventory(InventoryCommand::Diff { old, new, json }) => file::compare(&old, &new, json),
+            Command::Members { at, json } => group::show(&at, json).map(|text| {
+                print!("{text}");
+                0
+            }),
         };
         return ExitCode::from(done.unwrap_or_else(|fault| {
             log("liftrouter", fault);
@@ -240,6 +260,17 @@
     }
 }
 
+/// The Unix socket at which this limiter is asked; one that is left of an earlier process makes way.
+fn listen_at(path: &Path) -> Result<UnixListener, String> {
+    let fault = |e: std::io::Error| format!("cannot listen on {} for those who ask: {e}", path.display());
+    match std::fs::symlink_metadata(path) {
+        Ok(there) if there.file_type().is_socket() => std::fs::remove_file(path).map_err(fault)?,
+        // Whatever else is there is somebody's.
+        _ => {}
+    }
+    UnixListener::bind(path).map_err(fault)
+}
+
 async fn serve(
     Setup { path, listen, discovery, settings, config }: Setup,
     operator: Operator,
@@ -263,6 +294,18 @@
         }
     };
 
+    let inbox = Inbox::new();
+    let group = match &operator.members {
+        None => None,
+        Some(setup) => {
+            let asked = match &setup.ask {
+                None => None,
+                Some(path) => Some(listen_at(path)?),
+            };
+            Some((Group::open(setup, inbox.clone()).await?, asked, setup.probe))
+        }
+    };
+
     // Each request may hold two sockets, one to its client and one to a server.
     let sockets = config.limits.sockets.unwrap_or(SOCKETS_DEFAULT);
     let grpc_sockets = grpc_listener.as_ref().map_or(0, |(_, limits, _)| limits.connections + 1)
@@ -274,7 +317,6 @@
     // The seed is 16 hex digits; any other text is as good a seed, and none is one too.
     let seed = u64::from_str_radix(&config.seed, 16)
         .unwrap_or_else(|_| config.seed.bytes().fold(0, |seed: u64, b| seed.wrapping_mul(31) ^ u64::from(b)));
-    let inbox = Inbox::new();
     let servers = Rc::new(Servers::new(&settings, budget / 2));
     let mut all = vec![Keeper::new(config.counter, &settings)];
     let mut pacer = None;
@@ -299,6 +341,13 @@
     let clients = Clients::new(gate.clone(), budget - budget / 2);
 
     spawn_local(host.run());
+    let group = group.map(|(group, asked, probe)| {
+        spawn_local(group.clone().run());
+        asked.into_iter().for_each(|listener| drop(spawn_local(group.clone().answer(listener))));
+        let servers = servers.clone();
+        probe.into_iter().for_each(|every| drop(spawn_local(group.clone().probe(servers.clone(), every))));
+        group
+    });
     spawn_local(async move { servers.sweep().await });
     // Told when the first list is there, if one has to be waited for.
     let adopted: Rc<Notify> = Rc::default();
@@ -354,6 +403,9 @@
     if let Some((front, _)) = &grpc {
         front.drain();
     }
+    if let Some(group) = &group {
+        group.leave();
+    }
     tokio::time::sleep(ACCEPT_ON).await;
     let rest = Duration::from_secs_f64(longest.clamp(0.0, 60.0)) + FINISH;
     // Connections that are left then carry no request, or one that has not come whole.
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -2,12 +2,14 @@
 //! limiter is as the platform wants it.
 
 use crate::fronts::grpc::Limits;
+use crate::group::Setup;
 use crate::membership::file::Source;
 use crate::peers::authoriser::{Asked, WhenUnsure};
 use liftrouter_authz::{BreakerPolicy, FrameLimits, Mapping, Rules};
 use liftrouter_decision::Settings;
 use liftrouter_inventory::{Form, Policy};
-use liftrouter_keeper::{Order, Pace, Terms};
+use liftrouter_keeper::{Order, Pace as CallPace, Terms};
+use liftrouter_members::swim::Pace;
 use serde::Deserialize;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -23,6 +25,28 @@
     #[serde(default)]
     authoriser: Vec<AuthoriserFile>,
     keeper: Option<KeeperFile>,
+    members: Option<Spanned<MembersFile>>,
+}
+
+/// `[members]`: this limiter and the others know of each other.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MembersFile {
+    name: String,
+    listen: Spanned<String>,
+    join: Vec<Spanned<String>>,
+    #[serde(default)]
+    voters: Vec<Spanned<String>>,
+    expected: Option<Spanned<u64>>,
+    slots: Option<Spanned<u64>>,
+    period_ms: Option<Spanned<u64>>,
+    late_ms: Option<Spanned<u64>>,
+    suspicion_ms: Option<Spanned<u64>>,
+    term_ms: Option<Spanned<u64>>,
+    drift: Option<Spanned<f64>>,
+    ask: Option<PathBuf>,
+    probe_ms: Option<Spanned<u64>>,
+    via: Option<Spanned<String>>,
 }
 
 /// `[keeper]`: what the keeper says is judged by calls of the limiter's own.
@@ -58,12 +82,12 @@
 
 impl Judged {
     /// How calls are spread by each of so many limiters, if they are.
-    pub fn pace(&self, limiters: u32) -> Option<Pace> {
+    pub fn pace(&self, limiters: u32) -> Option<CallPace> {
         let calls_per_s = self.calls_per_s?;
         // What judges call is not spread: a call each time, and little beside customers'.
         let judging = f64::from(limiters.max(1)) / self.terms.every;
         let calls_per_s = (calls_per_s - judging).max(0.1 * calls_per_s);
-        Some(Pace { calls_per_s, limiters: limiters.max(1), rise: self.rise })
+        Some(CallPace { calls_per_s, limiters: limiters.max(1), rise: self.rise })
     }
 }
 
@@ -128,6 +152,8 @@
     pub authorisers: Vec<Asked>,
     /// How keepers are judged and followed, if they are.
     pub keeper: Option<Judged>,
+    /// How this limiter is a member of a group, if it is.
+    pub members: Option<Setup>,
     /// Where each class of an authoriser stands.
     places: Vec<(String, String)>,
 }
@@ -191,6 +217,7 @@
         authorisers: authorisers.collect::<Result<_, _>>()?,
         places,
         keeper: file.keeper.map(|k| keeper(&place, k)).transpose()?,
+        members: file.members.map(|m| members(&place, m)).transpose()?,
         inventory: file.inventory.map(|i| inventory(&place, i)).transpose()?,
         grpc: file.grpc.map(|g| grpc(&place, g)).transpose()?,
     })
@@ -318,6 +345,51 @@
     Ok(Judged { terms, order, others, calls_per_s, rise })
 }
 
+fn members(place: &Place, m: Spanned<MembersFile>) -> Result<Setup, String> {
+    let (at, m) = (m.span().start, m.into_inner());
+    let address = |key: &str, found: Spanned<String>| {
+        let at = found.span().start;
+        let found = found.into_inner();
+        let what = format!("{key} has {found:?}, expected an address and a port");
+        found.parse::<SocketAddr>().map_err(|_| place.fault(at, what))
+    };
+    let all = |key: &str, found: Vec<Spanned<String>>| {
+        found.into_iter().map(|f| address(key, f)).collect::<Result<Vec<_>, _>>()
+    };
+    let ms = |value, key, default| place.number(value, (key, "milliseconds"), 1..=3_600_000, default);
+    let period = ms(m.period_ms, "period_ms", 1_000)?;
+    let pace = Pace {
+        period: Duration::from_millis(period),
+        late: Duration::from_millis(ms(m.late_ms, "late_ms", period * 3 / 10)?),
+        suspicion: Duration::from_millis(ms(m.suspicion_ms, "suspicion_ms", 3 * period)?),
+        expected: place.number(m.expected, ("expected", "members"), 1..=4_096, 8)? as u32,
+    };
+    let terms = liftrouter_members::lease::Terms {
+        term: 1_000 * ms(m.term_ms, "term_ms", 4 * period)?,
+        drift: m.drift.map_or(0.01, Spanned::into_inner),
+    };
+    let probe = m.probe_ms.map(|v| ms(Some(v), "probe_ms", 1)).transpose()?.map(Duration::from_millis);
+    let settings = liftrouter_members::Settings {
+        name: m.name,
+        address: address("listen", m.listen)?,
+        join: all("join", m.join)?,
+        voters: all("voters", m.voters)?,
+        slots: place.number(m.slots, ("slots", "slots"), 1..=1_024, 64)? as u16,
+        pace,
+        terms,
+    };
+    settings.check().map_err(|problems| {
+        let what: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        place.fault(at, what.join("; "))
+    })?;
+    if let Some(via) = m.via.as_ref().filter(|_| !cfg!(debug_assertions)) {
+        let what = "via is given, but only builds for tests take it: it lets another one play the links";
+        return Err(place.fault(via.span().start, what.into()));
+    }
+    let via = m.via.map(|via| address("via", via)).transpose()?;
+    Ok(Setup { settings, ask: m.ask, probe, via })
+}
+
 fn authoriser(place: &Place, a: AuthoriserFile, places: &mut Vec<(String, String)>) -> Result<Asked, String> {
     let address = a.address.get_ref().parse().map_err(|_| {
         let what = format!("address is {:?}, expected an address and a port", a.address.get_ref());
@@ -502,6 +574,19 @@
                 "[keeper]\nothers = ['127.0.0.1:1', '127.0.0.1:1']\n",
                 "o.toml:2:26: others has \"127.0.0.1:1\" twice",
             ),
+            (
+                "[members]\nname = 'n0'\nlisten = 'x'\njoin = []\n",
+                "o.toml:3:10: listen has \"x\", expected an address and a port",
+            ),
+            (
+                "[members]\nname = 'n0'\nlisten = '127.0.0.1:1'\njoin = ['10.0.0.1:1']\nvoters = ['127.0.0.1:1', '127.0.0.1:2']\n",
+                "o.toml:1:1: join has 10.0.0.1:1, expected addresses of this machine: members talk on loopback only; \
+                 voters are 2, expected 1, 3, 5, 7 or 9",
+            ),
+            (
+                "[members]\nname = 'n0'\nlisten = '127.0.0.1:1'\njoin = []\nlate_ms = 900\n",
+                "late_ms is 900, expected 1 to half of period_ms, 500",
+            ),
             ("[keeper]\ncalls_per_s = 0\n", "o.toml:2:15: calls_per_s is 0, expected 1 to"),
             ("[inventry]\n", "o.toml:1:2: unknown field `inventry`"),
             ("[inventory]\ncsv = \n", "o.toml:2:7"),
--- a/crates/daemon/src/peers/servers.rs
+++ b/crates/daemon/src/peers/servers.rs
@@ -259,8 +259,8 @@
         }
     }
 
-    /// Asks a server for its load.
-    pub async fn probe(self: Rc<Self>, inbox: Rc<Inbox>, id: ServerId) {
+    /// Asks a server for its load; the inbox gets it, and whoever waits.
+    pub async fn probe(self: Rc<Self>, inbox: Rc<Inbox>, id: ServerId) -> (Outcome, LoadReport) {
         let probe = async {
             let address = self.address(&id)?;
             let mut link = match self.reuse(&id) {
@@ -291,6 +291,7 @@
                 self.keep(&id, address, link);
             }
         }
+        (outcome, report)
     }
 }
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -347,8 +347,11 @@
         let mut lines = BufReader::new(child.stderr.take().expect("stderr")).lines();
         let errors: Arc<Mutex<String>> = Arc::default();
         let mut grpc = None;
+        let mut said = String::new();
         let address = loop {
-            let line = lines.next().expect("it listens").expect("utf-8");
+            let line = lines.next().unwrap_or_else(|| panic!("it ended before it listened: {said}"));
+            let line = line.expect("utf-8");
+            said.push_str(&format!("{line}\n"));
             if let Some(address) = line.strip_prefix("liftrouter: gRPC on ") {
                 grpc = Some(address.parse().expect("an address"));
             }
--- a/crates/daemon/tests/inventory.rs
+++ b/crates/daemon/tests/inventory.rs
@@ -72,13 +72,13 @@
 fn every_way_of_writing_is_seen() {
     let (room, a, b) = (Room::new(""), server("a"), server("b"));
     let to = |version: u64| {
-        let node = if version % 2 == 0 {
+        let node = if version.is_multiple_of(2) {
             ("s-a", a.address, "in_service")
         } else {
             ("s-b", b.address, "in_service")
         };
         let text = csv(version, &[node]).replace("# count", "# removal: allowed\n# count");
-        (text, format!("{} {version}", if version % 2 == 0 { "a" } else { "b" }))
+        (text, format!("{} {version}", if version.is_multiple_of(2) { "a" } else { "b" }))
     };
     rename_over(&room.file, &to(0).0);
     let limiter = room.limiter();
@@ -96,7 +96,7 @@
     };
     for version in 1..=24 {
         let (text, expected) = to(version);
-        let spare = if version % 2 == 0 { &one } else { &two };
+        let spare = if version.is_multiple_of(2) { &one } else { &two };
         match version % 6 {
             0 => rename_over(&room.file, &text),
             1 => std::fs::write(&room.file, &text).expect("in place"),
--- a/crates/rehearsal/src/measure_closes.rs
+++ b/crates/rehearsal/src/measure_closes.rs
@@ -47,7 +47,7 @@
                 for _ in 0..turns {
                     std::hint::spin_loop();
                 }
-                if turns % 3 == 0 {
+                if turns.is_multiple_of(3) {
                     tokio::task::yield_now().await;
                 }
                 drop(stream);
