Windows of limiters that get few answers follow the fleet within some answers

Lines: OPEN_STEP in Fleet::pace, 2 % up and 3 % down for each answer, from a mean that begins as 'waiting' (Fleet::new). For one of 279 limiters with a window of 2.6 attempts and eight answers a second that is seconds of lag both ways.

Change: the steps are at least 0.8 (up) and 1.2 (down) of an attempt's part of the window, by half at most, times how little the limiter gets (nothing up to four limiters); and one that gets little begins as not waiting.

--- a/crates/decision/src/policy/fleet.rs
+++ b/crates/decision/src/policy/fleet.rs
@@ -31,6 +31,9 @@
 /// Mean answer of the fleet, as such a multiple, up to which its window opens, the steps, and the bounds.
 const OPEN_LAG: f64 = 2.0;
 const OPEN_STEP: (f64, f64) = (1.02, 0.97);
+/// The steps' least part of one attempt, up and down, where a limiter gets few answers, and the largest step
+/// down: by hundredths its window would follow the fleet in some tens of answers, which take it seconds.
+const FEW_STEP: (f64, f64, f64) = (0.8, 1.2, 0.5);
 const OPEN: (f64, f64) = (0.3, 6.0);
 /// Slowness that a server shows by turning work away.
 const FULL_SLOW: f64 = 10.0;
@@ -117,10 +120,8 @@
     open: f64,
     /// Share of the tries that find the fleet's window full.
     press: f64,
-    /// What may be out beyond the window by chance, in roots of it. What comes to one of hundreds of limiters
-    /// is a handful and scatters by its root, which evens out over all: held to the mean, each refuses its
-    /// own peaks at idle servers. Nothing where its even part of a server's least window is a whole attempt.
-    scatter: f64,
+    /// See [`few`].
+    few: f64,
     /// Sends to warm servers in the last overload window, and the weight of those in use.
     sends: VecDeque<f64>,
     warm: f64,
@@ -135,6 +136,12 @@
     set.classes.iter().map(|c| c.aim).fold(f64::MAX, f64::min).min(10.0)
 }
 
+/// How little each of so many limiters gets: nothing where its even part of a server's least window is a
+/// whole attempt, towards one for hundreds of limiters.
+fn few(peers: u32) -> f64 {
+    (1.0 - WINDOW.1 / f64::from(peers.max(1))).max(0.0)
+}
+
 /// Whether answers that take so long, against the work's own part, wait at the servers.
 fn waits(lag: f64, rest: f64) -> bool {
     lag > OPEN_LAG * rest
@@ -160,8 +167,10 @@
 }
 
 impl Fleet {
-    pub fn new() -> Self {
-        Fleet { lag: WINDOW_LAG.1 * REST.0, rest: REST.0, open: 1.0, ..Fleet::default() }
+    pub fn new(peers: u32) -> Self {
+        // One that gets few answers would take seconds to learn that they do not wait: it begins so.
+        let lag = if few(peers) > 0.0 { OPEN_LAG } else { WINDOW_LAG.1 };
+        Fleet { lag: lag * REST.0, rest: REST.0, open: 1.0, ..Fleet::default() }
     }
 
     /// Takes in the list of servers, whole or changes alone.
@@ -206,7 +215,7 @@
         };
         self.wider = (0..set.classes.len()).map(|n| (count / open(n).max(1.0)).clamp(1.0, BAR.2)).collect();
         self.subset = (count * COVER / peers).ceil().clamp(SUBSET.min(count), count);
-        self.scatter = CHANCE * (1.0 - WINDOW.1 / peers).max(0.0);
+        self.few = few(set.peers);
         self.cover = (peers * self.subset / f64::max(count, 1.0)).max(1.0);
         let used = self.ring.iter().take(self.subset as usize).map(|id| &self.servers[id]);
         self.warm = used.filter(|s| s.warmth(set, now) >= 1.0).map(|s| s.weight).sum();
@@ -280,8 +289,10 @@
                 f.rest = fresh(f.rest, took / aim, REST.1).max(REST.0);
             }
             let full = f64::from(f.out + 2) > f.room * f.open || f.open < 1.0;
-            let grow = if full { OPEN_STEP.0 } else { 1.0 };
-            f.open *= if waits(f.lag, f.rest) { OPEN_STEP.1 } else { grow };
+            let part = f.few / (f.room * f.open).max(1.0);
+            let grow = if full { OPEN_STEP.0.max(1.0 + FEW_STEP.0 * part) } else { 1.0 };
+            let close = OPEN_STEP.1.min(1.0 - (FEW_STEP.1 * part).min(FEW_STEP.2));
+            f.open *= if waits(f.lag, f.rest) { close } else { grow };
             f.open = f.open.clamp(OPEN.0, OPEN.1);
         }
         let latency = f.lag / f.rest * s.slow;
@@ -364,8 +375,10 @@
     /// Whether one more attempt would fill the window of all servers that serve.
     fn pooled(&self) -> bool {
         let room = self.room * self.open;
-        // Where answers wait no server idles: after a loss of servers every peak would be one too many.
-        let peaks = if waits(self.lag, self.rest) { 0.0 } else { self.scatter * room.sqrt() };
+        // What comes to one of hundreds of limiters is a handful and scatters by its root, which evens out
+        // over all: held to the mean, each refuses its own peaks at idle servers. Where answers wait no
+        // server idles: after a loss of servers every peak would be one too many.
+        let peaks = if waits(self.lag, self.rest) { 0.0 } else { CHANCE * self.few * room.sqrt() };
         f64::from(self.out) + 1.0 <= (room + peaks).max(1.0)
     }
 
--- a/crates/decision/src/policy/life.rs
+++ b/crates/decision/src/policy/life.rs
@@ -82,7 +82,7 @@
     pub fn new(set: &Settings, seed: u64, now: f64) -> Self {
         Life {
             quota: Quota::new(now),
-            fleet: Fleet::new(),
+            fleet: Fleet::new(set.peers),
             rng: fastrand::Rng::with_seed(seed),
             means: set.classes.iter().map(|c| c.aim * FIRST_MEAN).collect(),
             retry_saved: RETRY.1,
