--- a/crates/members/src/swim.rs
+++ b/crates/members/src/swim.rs
@@ -140,7 +140,8 @@
         max_packet_size: NonZeroUsize::new(largest).unwrap_or(one),
         // A member that was taken for gone hears of it from whoever it speaks to, and comes back.
         notify_down_members: true,
-        periodic_announce: spread(pace.period * 10, 1),
+        // An answer names some thirty members: hundreds know of each other after some tens of periods.
+        periodic_announce: spread(pace.period * 2, 1),
         periodic_announce_to_down_members: spread(pace.period * 4, 2),
         periodic_gossip: spread(pace.period / 4, 3),
         ..foca::Config::new_lan(expected)
