Read once more: one reader of addresses, one making of a planned fault, lies asked for in one way

Cause: reading the whole change again.

Change: Place::address, planned_at, tells / Told::strikes / holds, array, Committed::meant, Seen::name, Members::names, group::listen, a plain map. One thing behaves otherwise, in the lying disk alone: what is written to a file that is still held back after its own lie ended, while another one's goes on, is held too; before, it went behind what readers were given.

--- a/crates/daemon/src/group/ask.rs
+++ b/crates/daemon/src/group/ask.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use std::fmt::Write as _;
 use std::io::Read;
+use std::os::unix::fs::FileTypeExt;
 use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::rc::Rc;
@@ -48,10 +49,7 @@
             name: row.process.name,
             address: row.process.address.to_string(),
             instance: format!("{:016x}", row.process.instance),
-            seen: serde_json::to_value(row.seen)
-                .ok()
-                .and_then(|v| Some(v.as_str()?.to_string()))
-                .unwrap_or_default(),
+            seen: row.seen.name().into(),
             for_s: now.saturating_sub(row.since) as f64 / 1e6,
             slots: row.slots,
         };
@@ -63,6 +61,19 @@
     }
 }
 
+/// Listens for those who ask; a socket that is left of an earlier process makes way.
+///
+/// # Errors
+/// It cannot be listened there.
+pub fn listen(path: &Path) -> Result<UnixListener, String> {
+    let fault = |e: std::io::Error| format!("cannot listen on {} for those who ask: {e}", path.display());
+    // Whatever else is there is somebody's.
+    if std::fs::symlink_metadata(path).is_ok_and(|there| there.file_type().is_socket()) {
+        std::fs::remove_file(path).map_err(fault)?;
+    }
+    UnixListener::bind(path).map_err(fault)
+}
+
 /// Answers whoever comes.
 pub async fn answer(group: Rc<Group>, listener: UnixListener) {
     loop {
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -6,7 +6,7 @@
 mod ask;
 mod probing;
 
-pub use ask::show;
+pub use ask::{listen, show};
 
 use crate::inbox::Inbox;
 use crate::log;
--- a/crates/daemon/src/group/probing.rs
+++ b/crates/daemon/src/group/probing.rs
@@ -5,7 +5,6 @@
 use crate::peers::servers::Servers;
 use liftrouter_decision::{LoadReport, Outcome, ServerId};
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -68,18 +67,18 @@
 
 /// Looks again and again which nodes are held and due.
 pub async fn run(group: Rc<Group>, servers: Rc<Servers>, every: Duration) {
-    let last: RefCell<HashMap<ServerId, Instant>> = RefCell::default();
+    let mut last: HashMap<ServerId, Instant> = HashMap::new();
     let look = (every / 20).max(Duration::from_millis(5));
     loop {
         sleep_until(Instant::now() + look).await;
         let ids = servers.ids();
-        last.borrow_mut().retain(|id, _| ids.contains(id));
+        last.retain(|id, _| ids.contains(id));
         for id in ids {
-            let due = last.borrow().get(&id).is_none_or(|at| at.elapsed() >= every);
+            let due = last.get(&id).is_none_or(|at| at.elapsed() >= every);
             if !due || servers.address(&id).is_none() || group.slot_held(&id).is_none() {
                 continue;
             }
-            last.borrow_mut().insert(id.clone(), Instant::now());
+            last.insert(id.clone(), Instant::now());
             let (group, servers) = (group.clone(), servers.clone());
             spawn_local(async move {
                 let (outcome, report) = servers.probe(group.inbox.clone(), id.clone()).await;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -38,12 +38,11 @@
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::os::unix::fs::FileTypeExt;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, UnixListener};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, LocalSet};
@@ -260,17 +259,6 @@
     }
 }
 
-/// The Unix socket at which this limiter is asked; one that is left of an earlier process makes way.
-fn listen_at(path: &Path) -> Result<UnixListener, String> {
-    let fault = |e: std::io::Error| format!("cannot listen on {} for those who ask: {e}", path.display());
-    match std::fs::symlink_metadata(path) {
-        Ok(there) if there.file_type().is_socket() => std::fs::remove_file(path).map_err(fault)?,
-        // Whatever else is there is somebody's.
-        _ => {}
-    }
-    UnixListener::bind(path).map_err(fault)
-}
-
 async fn serve(
     Setup { path, listen, discovery, settings, config }: Setup,
     operator: Operator,
@@ -298,10 +286,7 @@
     let group = match &operator.members {
         None => None,
         Some(setup) => {
-            let asked = match &setup.ask {
-                None => None,
-                Some(path) => Some(listen_at(path)?),
-            };
+            let asked = setup.ask.as_deref().map(group::listen).transpose()?;
             Some((Group::open(setup, inbox.clone()).await?, asked, setup.probe))
         }
     };
@@ -343,9 +328,12 @@
     spawn_local(host.run());
     let group = group.map(|(group, asked, probe)| {
         spawn_local(group.clone().run());
-        asked.into_iter().for_each(|listener| drop(spawn_local(group.clone().answer(listener))));
-        let servers = servers.clone();
-        probe.into_iter().for_each(|every| drop(spawn_local(group.clone().probe(servers.clone(), every))));
+        if let Some(listener) = asked {
+            spawn_local(group.clone().answer(listener));
+        }
+        if let Some(every) = probe {
+            spawn_local(group.clone().probe(servers.clone(), every));
+        }
         group
     });
     spawn_local(async move { servers.sweep().await });
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -242,6 +242,12 @@
         format!("{}: {what}", self.at(at))
     }
 
+    /// An address with its port; what it is said to be the value of: `listen is`, `others has`.
+    fn address(&self, key: &str, found: &Spanned<String>) -> Result<SocketAddr, String> {
+        let what = || format!("{key} {:?}, expected an address and a port", found.get_ref());
+        found.get_ref().parse().map_err(|_| self.fault(found.span().start, what()))
+    }
+
     /// A whole number within its range, or the default.
     fn number(
         &self,
@@ -311,11 +317,9 @@
     };
     let mut others: Vec<SocketAddr> = Vec::new();
     for other in k.others {
+        let address = place.address("others has", &other)?;
         let at = other.span().start;
         let found = other.into_inner();
-        let address = found
-            .parse()
-            .map_err(|_| place.fault(at, format!("others has {found:?}, expected an address and a port")))?;
         if others.contains(&address) {
             return Err(place.fault(at, format!("others has {found:?} twice, expected different keepers")));
         }
@@ -347,14 +351,8 @@
 
 fn members(place: &Place, m: Spanned<MembersFile>) -> Result<Setup, String> {
     let (at, m) = (m.span().start, m.into_inner());
-    let address = |key: &str, found: Spanned<String>| {
-        let at = found.span().start;
-        let found = found.into_inner();
-        let what = format!("{key} has {found:?}, expected an address and a port");
-        found.parse::<SocketAddr>().map_err(|_| place.fault(at, what))
-    };
-    let all = |key: &str, found: Vec<Spanned<String>>| {
-        found.into_iter().map(|f| address(key, f)).collect::<Result<Vec<_>, _>>()
+    let all = |key: &str, found: &[Spanned<String>]| {
+        found.iter().map(|f| place.address(key, f)).collect::<Result<Vec<_>, _>>()
     };
     let ms = |value, key, default| place.number(value, (key, "milliseconds"), 1..=3_600_000, default);
     let period = ms(m.period_ms, "period_ms", 1_000)?;
@@ -371,9 +369,9 @@
     let probe = m.probe_ms.map(|v| ms(Some(v), "probe_ms", 1)).transpose()?.map(Duration::from_millis);
     let settings = liftrouter_members::Settings {
         name: m.name,
-        address: address("listen", m.listen)?,
-        join: all("join", m.join)?,
-        voters: all("voters", m.voters)?,
+        address: place.address("listen has", &m.listen)?,
+        join: all("join has", &m.join)?,
+        voters: all("voters has", &m.voters)?,
         slots: place.number(m.slots, ("slots", "slots"), 1..=1_024, 64)? as u16,
         pace,
         terms,
@@ -386,15 +384,12 @@
         let what = "via is given, but only builds for tests take it: it lets another one play the links";
         return Err(place.fault(via.span().start, what.into()));
     }
-    let via = m.via.map(|via| address("via", via)).transpose()?;
+    let via = m.via.map(|via| place.address("via has", &via)).transpose()?;
     Ok(Setup { settings, ask: m.ask, probe, via })
 }
 
 fn authoriser(place: &Place, a: AuthoriserFile, places: &mut Vec<(String, String)>) -> Result<Asked, String> {
-    let address = a.address.get_ref().parse().map_err(|_| {
-        let what = format!("address is {:?}, expected an address and a port", a.address.get_ref());
-        place.fault(a.address.span().start, what)
-    })?;
+    let address = place.address("address is", &a.address)?;
     let mut classes = HashMap::new();
     for (class, unsure) in a.classes {
         let at = class.span().start;
@@ -433,10 +428,7 @@
 }
 
 fn grpc(place: &Place, g: GrpcFile) -> Result<Grpc, String> {
-    let listen = g.listen.get_ref().parse().map_err(|_| {
-        let what = format!("listen is {:?}, expected an address and a port", g.listen.get_ref());
-        place.fault(g.listen.span().start, what)
-    })?;
+    let listen = place.address("listen is", &g.listen)?;
     let kilobytes = |n: u64| n as usize * 1_024;
     let limits = Limits {
         listen,
--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -36,6 +36,11 @@
 pub use memory::Memory;
 pub use snapshot::{Refused, Snapshots, Whole};
 
+/// So many bytes at a place; none where there are fewer.
+fn array<const N: usize>(bytes: &[u8], at: usize) -> Option<[u8; N]> {
+    bytes.get(at..at + N)?.try_into().ok()
+}
+
 /// What a store may ask of its folder. Names are of files in it, with no folder of their own.
 ///
 /// What was written may be lost until [`Disk::sync`] has said yes to it, and a file that is new, renamed or removed until
--- a/crates/disk/src/log.rs
+++ b/crates/disk/src/log.rs
@@ -1,6 +1,6 @@
 //! A log of entries: each framed, numbered and checked, so that what is read back was written, whole and in that order.
 
-use crate::{Disk, Fault, Result};
+use crate::{array, Disk, Fault, Result};
 use std::io::{Error, ErrorKind};
 
 /// The longest entry, in bytes: what says of itself that it is longer was not written by a log.
@@ -77,10 +77,6 @@
     bytes
 }
 
-fn array<const N: usize>(bytes: &[u8], at: usize) -> Option<[u8; N]> {
-    bytes.get(at..at + N)?.try_into().ok()
-}
-
 /// The entry at a place, with its number and where the next begins.
 fn entry(bytes: &[u8], at: usize) -> Option<(u64, &[u8], usize)> {
     let len = u32::from_le_bytes(array(bytes, at)?) as usize;
@@ -210,7 +206,7 @@
     }
 
     /// Notes a failure, after which the log must be opened anew: what it holds is not known.
-    fn failing<T>(&mut self, done: Result<T>) -> Result<T> {
+    fn failing(&mut self, done: Result<()>) -> Result<()> {
         if let Err(fault) = &done {
             self.failed = Some(format!("it failed before: {fault}"));
         }
--- a/crates/disk/src/lying.rs
+++ b/crates/disk/src/lying.rs
@@ -54,6 +54,17 @@
     file: Option<String>,
 }
 
+impl Told {
+    fn strikes(&self, name: &str) -> bool {
+        self.file.as_ref().is_none_or(|file| name.starts_with(file))
+    }
+}
+
+/// Whether a lie is among these.
+fn tells(here: &[Told], lie: Lie) -> bool {
+    here.iter().any(|told| told.lie == lie)
+}
+
 /// The lies that hold now: told by a test of this process, or by a file that another process writes.
 #[derive(Clone, Debug, Default)]
 pub struct Lies {
@@ -173,13 +184,13 @@
                 self.went.push(told.id);
                 self.held.clear();
                 for name in self.disk.list()? {
-                    if told.file.as_ref().is_none_or(|file| name.starts_with(file)) {
+                    if told.strikes(&name) {
                         self.disk.remove(&name)?;
                     }
                 }
             }
         }
-        if !now.iter().any(|told| told.lie == Lie::EmptySync) && !self.held.is_empty() {
+        if !tells(&now, Lie::EmptySync) && !self.held.is_empty() {
             // The cache comes to the disk after all.
             for (name, bytes) in std::mem::take(&mut self.held) {
                 match bytes {
@@ -188,9 +199,8 @@
                 }
             }
         }
-        let of =
-            |told: &Told| told.file.as_ref().is_none_or(|file| name.is_empty() || name.starts_with(file));
-        let here: Vec<Told> = now.into_iter().filter(of).collect();
+        // What is done to the folder meets the lies for any file.
+        let here: Vec<Told> = now.into_iter().filter(|told| name.is_empty() || told.strikes(name)).collect();
         for told in &here {
             match told.lie {
                 Lie::Stall { ms } => std::thread::sleep(Duration::from_millis(ms)),
@@ -202,8 +212,15 @@
         Ok(here)
     }
 
-    fn holds(here: &[Told]) -> bool {
-        here.iter().any(|told| told.lie == Lie::EmptySync)
+    /// Whether what is done to a file stays in the cache: it is to keep nothing, or holds the file already.
+    fn holds(&self, here: &[Told], name: &str) -> bool {
+        tells(here, Lie::EmptySync) || self.held.contains_key(name)
+    }
+
+    /// What there was when a lie that gives it back began.
+    fn old(&self, here: &[Told]) -> Option<&Before> {
+        let told = here.iter().find(|told| told.lie == Lie::Old)?;
+        self.before.get(&told.id)
     }
 
     fn current(&mut self, name: &str) -> Result<Option<Vec<u8>>> {
@@ -228,7 +245,7 @@
 
     fn put(&mut self, name: &str, bytes: &[u8], here: &[Told], appends: bool) -> Result<()> {
         let (part, fails) = Self::part(here, bytes);
-        if Self::holds(here) {
+        if self.holds(here, name) {
             let mut whole = if appends { self.current(name)?.unwrap_or_default() } else { Vec::new() };
             whole.extend_from_slice(part);
             self.held.insert(name.into(), Some(whole));
@@ -248,12 +265,11 @@
 impl<D: Disk> Disk for Lying<D> {
     fn read(&mut self, name: &str) -> Result<Option<Vec<u8>>> {
         let here = self.step("read", name, false)?;
-        let old = here.iter().find(|told| told.lie == Lie::Old).and_then(|told| self.before.get(&told.id));
-        let mut bytes = match old {
+        let mut bytes = match self.old(&here) {
             Some(before) => before.get(name).cloned(),
             None => self.current(name)?,
         };
-        if here.iter().any(|told| told.lie == Lie::Flip) {
+        if tells(&here, Lie::Flip) {
             if let Some(bytes) = bytes.as_mut().filter(|bytes| !bytes.is_empty()) {
                 let at = self.rng.usize(0..bytes.len());
                 bytes[at] ^= 1 << self.rng.u8(0..8);
@@ -274,7 +290,7 @@
 
     fn cut(&mut self, name: &str, len: u64) -> Result<()> {
         let here = self.step("cut", name, true)?;
-        if Self::holds(&here) || self.held.contains_key(name) {
+        if self.holds(&here, name) {
             let mut bytes = self.current(name)?.unwrap_or_default();
             bytes.truncate(len as usize);
             self.held.insert(name.into(), Some(bytes));
@@ -285,7 +301,7 @@
 
     fn sync(&mut self, name: &str) -> Result<()> {
         let here = self.step("sync", name, false)?;
-        if Self::holds(&here) || self.held.contains_key(name) {
+        if self.holds(&here, name) {
             return Ok(());
         }
         self.disk.sync(name)
@@ -293,7 +309,7 @@
 
     fn sync_folder(&mut self) -> Result<()> {
         let here = self.step("sync", "", false)?;
-        if Self::holds(&here) {
+        if tells(&here, Lie::EmptySync) {
             return Ok(());
         }
         self.disk.sync_folder()
@@ -301,10 +317,10 @@
 
     fn rename(&mut self, from: &str, to: &str) -> Result<()> {
         let here = self.step("rename", from, true)?;
-        if here.iter().any(|told| told.lie == Lie::LostRename) {
+        if tells(&here, Lie::LostRename) {
             return Ok(());
         }
-        if Self::holds(&here) || self.held.contains_key(from) {
+        if self.holds(&here, from) {
             let bytes = self.current(from)?;
             self.held.insert(to.into(), bytes);
             self.held.insert(from.into(), None);
@@ -315,7 +331,7 @@
 
     fn remove(&mut self, name: &str) -> Result<()> {
         let here = self.step("remove", name, true)?;
-        if Self::holds(&here) || self.held.contains_key(name) {
+        if self.holds(&here, name) {
             self.held.insert(name.into(), None);
             return Ok(());
         }
@@ -324,8 +340,7 @@
 
     fn list(&mut self) -> Result<Vec<String>> {
         let here = self.step("list", "", false)?;
-        let old = here.iter().find(|told| told.lie == Lie::Old).and_then(|told| self.before.get(&told.id));
-        if let Some(before) = old {
+        if let Some(before) = self.old(&here) {
             return Ok(before.keys().cloned().collect());
         }
         let mut names: Vec<String> = self.disk.list()?;
--- a/crates/disk/src/snapshot.rs
+++ b/crates/disk/src/snapshot.rs
@@ -1,6 +1,6 @@
 //! Snapshots in two generations: a new one takes the place of the older, so that the newer is there whatever happens.
 
-use crate::{Disk, Fault, Result};
+use crate::{array, Disk, Fault, Result};
 use std::io::{Error, ErrorKind};
 
 const MAGIC: &[u8; 4] = b"LRsn";
@@ -36,8 +36,9 @@
     pub what: String,
 }
 
+/// So many bytes of what is known to be long enough.
 fn word<const N: usize>(bytes: &[u8], at: usize) -> [u8; N] {
-    bytes.get(at..at + N).and_then(|b| b.try_into().ok()).unwrap_or([0; N])
+    array(bytes, at).unwrap_or([0; N])
 }
 
 impl Snapshots {
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -192,7 +192,7 @@
 const WORD: u8 = 2;
 
 /// A line of the table of members.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Row {
     /// Who.
     pub process: Process,
@@ -205,7 +205,7 @@
 }
 
 /// What one member has of its own.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Standing {
     /// Slots that are held here now, with their tokens.
     pub held: Vec<(u16, u64)>,
@@ -225,7 +225,8 @@
     next_join: Micros,
     /// Who ought to have which slot has to be looked at anew.
     moved: bool,
-    since: BTreeMap<SocketAddr, (Seen, Micros)>,
+    /// By address: when it was last said to be there or gone.
+    since: BTreeMap<SocketAddr, Micros>,
     alike: BTreeSet<(u64, u64)>,
     /// The latest token that was heard of, by slot.
     latest: BTreeMap<u16, u64>,
@@ -426,12 +427,12 @@
             self.moved = true;
             let news = match news {
                 Heard::Up(process) => {
-                    self.since.insert(process.address, (Seen::Alive, now));
+                    self.since.insert(process.address, now);
                     self.told_apart(&process, out);
                     News::Up(process)
                 }
                 Heard::Down(process) => {
-                    self.since.insert(process.address, (Seen::Gone, now));
+                    self.since.insert(process.address, now);
                     News::Down(process)
                 }
                 Heard::Returned(_) => News::Returned,
@@ -469,6 +470,11 @@
         }
     }
 
+    /// What those are called that are there.
+    fn names(&self) -> BTreeSet<&str> {
+        self.swim.alive().map(|p| p.name.as_str()).collect()
+    }
+
     /// Wants the slots that this one ought to have, and gives back the others. Of two of one name the later started has none.
     fn deal(&mut self, now: Micros, out: &mut Vec<Output>) {
         if self.settings.voters.is_empty() {
@@ -477,7 +483,7 @@
         let me = self.swim.me().clone();
         let twin =
             self.swim.alive().any(|p| p.name == me.name && (p.stamp, p.instance) < (me.stamp, me.instance));
-        let names: BTreeSet<&str> = self.swim.alive().map(|p| p.name.as_str()).collect();
+        let names = self.names();
         let own = |slot: &u16| !twin && duties::owner(*slot, names.iter().copied()) == Some(me.name.as_str());
         let wanted: Vec<u16> = (0..self.settings.slots).filter(own).collect();
         self.give_back(wanted, out);
@@ -515,7 +521,7 @@
 
     /// Every process that is known of, this one first.
     pub fn table(&self, now: Micros) -> Vec<Row> {
-        let names: BTreeSet<&str> = self.swim.alive().map(|p| p.name.as_str()).collect();
+        let names = self.names();
         let mut slots: BTreeMap<&str, usize> = BTreeMap::new();
         for slot in 0..self.settings.slots {
             if let Some(owner) = duties::owner(slot, names.iter().copied()) {
@@ -523,7 +529,7 @@
             }
         }
         let row = |(process, seen): (&Process, Seen)| {
-            let since = self.since.get(&process.address).map_or(self.stamp.1, |(_, at)| *at);
+            let since = self.since.get(&process.address).copied().unwrap_or(self.stamp.1);
             let there = seen != Seen::Gone;
             let slots = slots.get(process.name.as_str()).copied().filter(|_| there).unwrap_or(0);
             Row { process: process.clone(), seen, since: now.min(since), slots }
--- a/crates/members/src/swim.rs
+++ b/crates/members/src/swim.rs
@@ -72,8 +72,7 @@
 }
 
 /// What a member is taken to be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "lowercase")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Seen {
     /// It answers.
     Alive,
@@ -83,6 +82,17 @@
     Gone,
 }
 
+impl Seen {
+    /// In a word: `alive`, `suspect` or `gone`.
+    pub fn name(self) -> &'static str {
+        match self {
+            Seen::Alive => "alive",
+            Seen::Suspect => "suspect",
+            Seen::Gone => "gone",
+        }
+    }
+}
+
 /// What is asked of the world.
 #[derive(Default)]
 struct Wishes {
--- a/crates/rehearsal/src/standin/rogue.rs
+++ b/crates/rehearsal/src/standin/rogue.rs
@@ -168,8 +168,13 @@
 }
 
 impl Committed {
+    /// One that was done on purpose.
+    pub fn meant(kind: Wrong, id: Option<u64>, customer: Option<u64>, size: f64) -> Committed {
+        Committed { kind, id, customer, size, unmeant: false }
+    }
+
     fn of(kind: Wrong, asked: &Asked, size: f64) -> Committed {
-        Committed { kind, id: Some(asked.id), customer: Some(asked.customer), size, unmeant: false }
+        Committed::meant(kind, Some(asked.id), Some(asked.customer), size)
     }
 }
 
@@ -795,7 +800,7 @@
                 other.headers.set("x-correlation-id", format!("{id:016x}"));
                 if let Some(node) = self.node() {
                     if ask(node, &other.bytes()).await.is_some() {
-                        self.note(Committed { kind, id: Some(id), customer: None, size, unmeant: false });
+                        self.note(Committed::meant(kind, Some(id), None, size));
                     }
                 }
                 None
@@ -895,12 +900,11 @@
             _ => {
                 if let (200, Some(node)) = (answer.status, self.node()) {
                     let (rogue, sent) = (self.clone(), request.bytes());
-                    let (id, customer) = (asked.id, asked.customer);
+                    let done = Committed::of(kind, asked, size);
                     spawn_local(async move {
                         sleep(ms(size)).await;
                         if ask(node, &sent).await.is_some() {
-                            let customer = Some(customer);
-                            rogue.note(Committed { kind, id: Some(id), customer, size, unmeant: false });
+                            rogue.note(done);
                         }
                     });
                 }
@@ -1044,8 +1048,7 @@
     fn tell_of_push(&self, push: &Push) {
         let size = f64::from(push.sent);
         if size >= Wrong::ColdPush.about().sizes.0 {
-            let kind = Wrong::ColdPush;
-            self.note(Committed { kind, id: None, customer: None, size, unmeant: false });
+            self.note(Committed::meant(Wrong::ColdPush, None, None, size));
         }
     }
 
@@ -1059,7 +1062,7 @@
                 Wrong::AtOnce if partner.most > 1 => f64::from(partner.most),
                 _ => continue,
             };
-            self.note(Committed { kind, id: None, customer, size, unmeant: false });
+            self.note(Committed::meant(kind, None, customer, size));
         }
     }
 }
--- a/crates/rehearsal/src/standin/rogue/grpc.rs
+++ b/crates/rehearsal/src/standin/rogue/grpc.rs
@@ -114,7 +114,7 @@
                 out.extend_from_slice(&bytes);
                 let (kind, id, customer) =
                     (Wrong::PermissionTwice, Some(question.id), Some(question.customer));
-                rogue.note(Committed { kind, id, customer, size: 1.0, unmeant: false });
+                rogue.note(Committed::meant(kind, id, customer, 1.0));
             }
             out.extend(bytes);
         }
--- a/crates/rehearsal/src/trial.rs
+++ b/crates/rehearsal/src/trial.rs
@@ -289,7 +289,7 @@
     use super::*;
 
     fn wrong(kind: Wrong, id: u64, size: f64) -> Committed {
-        Committed { kind, id: Some(id), customer: Some(7), size, unmeant: false }
+        Committed::meant(kind, Some(id), Some(7), size)
     }
 
     fn accusation(rule: u8, id: u64, what: &str) -> Break {
@@ -324,12 +324,11 @@
 
     #[test]
     fn wrongs_of_partners_and_nodes_are_known_by_those() {
-        let ceiling =
-            Committed { kind: Wrong::Ceiling, id: None, customer: Some(0x2a), size: 1.0, unmeant: false };
+        let ceiling = Committed::meant(Wrong::Ceiling, None, Some(0x2a), 1.0);
         let said = accusation(5, 8, "customer 000000000000002a is 9 units beyond its ceiling");
         assert!(accuses(&said, &ceiling));
         assert!(!accuses(&accusation(5, 8, "customer 000000000000002b is beyond"), &ceiling));
-        let cold = Committed { kind: Wrong::ColdPush, id: None, customer: None, size: 100.0, unmeant: false };
+        let cold = Committed::meant(Wrong::ColdPush, None, None, 100.0);
         assert!(accuses(&accusation(4, 8, "cold s-1"), &cold) && !accuses(&said, &cold));
     }
 
--- a/crates/stage/src/schedule.rs
+++ b/crates/stage/src/schedule.rs
@@ -425,7 +425,7 @@
     (at, f.for_s.as_ref().map(|r| range(rng, *r.get_ref())))
 }
 
-fn draw_size(f: &Fault, kind: Kind) -> f64 {
+fn size_of(f: &Fault, kind: Kind) -> f64 {
     let default = kind.about().size.map(|(_, default, _, _)| default);
     f.size.as_ref().map(|s| *s.get_ref()).or(default).unwrap_or(0.0)
 }
@@ -440,6 +440,18 @@
     }
 }
 
+/// A fault at its time, so far as its file says; its number comes with all others.
+fn planned_at(
+    s: &Scenario,
+    f: &Fault,
+    kind: Kind,
+    (at, lasts): (f64, Option<f64>),
+    victim: usize,
+) -> Planned {
+    let until = lasts.map(|l| micros(at + l));
+    Planned { id: 0, kind, at: micros(at), until, victim, peer: peer_of(s, f), size: size_of(f, kind) }
+}
+
 /// One time of a fault that strikes several.
 fn draw_many(
     s: &Scenario,
@@ -453,16 +465,7 @@
     let step = f.within_s.as_ref().map_or(0.0, |w| *w.get_ref()) / many.at_a_time.max(1) as f64;
     let struck = many.order.iter().cycle().skip(nth * many.at_a_time).take(many.at_a_time);
     for (n, victim) in struck.enumerate() {
-        let at = at + n as f64 * step;
-        planned.push(Planned {
-            id: 0,
-            kind,
-            at: micros(at),
-            until: lasts.map(|l| micros(at + l)),
-            victim: *victim,
-            peer: peer_of(s, f),
-            size: draw_size(f, kind),
-        });
+        planned.push(planned_at(s, f, kind, (at + n as f64 * step, lasts), *victim));
     }
 }
 
@@ -485,16 +488,14 @@
         }
         Victim::None => 0,
     };
-    let (peer, size) = (peer_of(s, f), draw_size(f, kind));
-    let until = lasts.map(|l| micros(at + l));
-    let one = Planned { id: 0, kind, at: micros(at), until, victim, peer, size };
+    let one = planned_at(s, f, kind, (at, lasts), victim);
     if kind != Kind::RollingDeploy {
         return planned.push(one);
     }
     // A deploy is its nodes' drains, one group after the other.
     let mut order: Vec<usize> = (0..s.nodes.count).collect();
     rng.shuffle(&mut order);
-    let together = ((s.nodes.count as f64 * size) as usize).max(1);
+    let together = ((s.nodes.count as f64 * one.size) as usize).max(1);
     let slot = lasts.unwrap_or(0.0) / s.nodes.count.div_ceil(together) as f64;
     for (n, node) in order.into_iter().enumerate() {
         let begins = at + (n / together) as f64 * slot;
