Cold servers keep their budget under the sum of all limiters, at each moment and through restarts

Cause, found by property tests of 1 to 30 decision modules on one clock, each seen failing on (fleet.rs there, cold_room and listed): - The draw for a part of a send went by windows that began at one instant for all: around it a cold server got what two windows may (8.1 sends on average where 4 are meant). Each limiter's windows now begin at a moment of its own. - A start that all learn of at once met every limiter in the middle of a window; and a limiter that was restarted had forgotten what it sent (55 sends in one stretch, 10 allowed, 5 limiters restarted every 0.2 s). The budget now grows from none over the first window after a server was first named. - A list that corrects a start gave a second budget (84 sends, 10 allowed). What was sent is kept. - What warm servers take was read from what they were sent, also where they turned it away. Good answers count now. - Where most servers are ejected more limiters share the rest than `cover` said (with 120 limiters; up to 48 all use all, so for thirty it is ruled out). Only servers that serve count, as warm ones too; draining and ejected ones counted.

Ruled out: retries do not come on top, they pass the same room; that all see one warmth at an instant does no harm once the windows are spread.

--- a/crates/decision/src/policy/fleet.rs
+++ b/crates/decision/src/policy/fleet.rs
@@ -74,16 +74,18 @@
     ejected_until: f64,
     /// Sends of the last overload period, while cold.
     sent: Vec<f64>,
+    /// When it was first named, or named as started anew.
+    seen: f64,
 }
 
 impl Server {
-    fn new(e: &ServerEntry, peers: u32, out: u32) -> Self {
+    fn new(e: &ServerEntry, peers: u32, now: f64) -> Self {
         Server {
             zone: e.zone.clone(),
             cell: e.cell,
             started: e.started,
             slow: 1.0,
-            out,
+            seen: now,
             window: WINDOW.0 / f64::from(peers.max(1)),
             ejected_until: f64::MIN,
             ..Server::default()
@@ -122,8 +124,8 @@
     press: f64,
     /// See [`few`].
     few: f64,
-    /// Sends to warm servers in the last overload window, and the weight of those in use.
-    sends: VecDeque<f64>,
+    /// Good answers of warm servers in the last overload window, and the weight of those in use.
+    served: VecDeque<f64>,
     warm: f64,
     /// Attempts out at all servers.
     out: u32,
@@ -181,10 +183,12 @@
             s.state = ServerState::Gone;
         }
         for e in entries {
-            let s = self.servers.entry(e.id.clone()).or_insert_with(|| Server::new(e, set.peers, 0));
+            let s = self.servers.entry(e.id.clone()).or_insert_with(|| Server::new(e, set.peers, view.now));
             if s.started != e.started && e.started.is_some() {
-                // A restarted process has nothing of its former self but what is still out.
-                *s = Server::new(e, set.peers, s.out);
+                // A restarted process has nothing of its former self but what is still out. Where only its
+                // start was corrected, it has what it got: no budget is given twice.
+                let (out, sent) = (s.out, std::mem::take(&mut s.sent));
+                *s = Server { out, sent, ..Server::new(e, set.peers, view.now) };
             }
             s.state = e.state;
             s.weight = if e.weight > 0.0 { e.weight } else { 1.0 };
@@ -216,10 +220,14 @@
         self.wider = (0..set.classes.len()).map(|n| (count / open(n).max(1.0)).clamp(1.0, BAR.2)).collect();
         self.subset = (count * COVER / peers).ceil().clamp(SUBSET.min(count), count);
         self.few = few(set.peers);
-        self.cover = (peers * self.subset / f64::max(count, 1.0)).max(1.0);
-        let used = self.ring.iter().take(self.subset as usize).map(|id| &self.servers[id]);
-        self.warm = used.filter(|s| s.warmth(set, now) >= 1.0).map(|s| s.weight).sum();
-        self.sends.retain(|t| now - t <= set.overload_for);
+        // As many serve in place of those that are ejected: each server that is left gets more limiters.
+        let serving = (count - ejected).max(1.0);
+        self.cover = (peers * self.subset.min(serving) / serving).max(1.0);
+        let used = self.ring.iter().map(|id| &self.servers[id]);
+        let used = used.filter(|s| s.state == ServerState::InService && s.ejected_until <= now);
+        let warm = used.take(self.subset as usize).filter(|s| s.warmth(set, now) >= 1.0);
+        self.warm = warm.map(|s| s.weight).sum();
+        self.served.retain(|t| now - t <= set.overload_for);
     }
 
     /// A failure shown by a server: too many in a row eject it for a while.
@@ -306,20 +314,29 @@
         }
     }
 
-    /// Whether a cold server may get one more send from here within the rule's window: what warm ones get,
-    /// by its warmth. A part of one send goes out in that part of the windows, each limiter in its own turn.
+    /// Whether a cold server may get one more send from here within the rule's window: what warm ones take,
+    /// by its warmth. A part of one send goes out in that part of the windows, each limiter in its own turn,
+    /// and the windows of each limiter begin at another moment: over all of them no moment is better than
+    /// others, so any stretch of a window's length gets what one window may. That holds once the first window
+    /// of each has begun; before, and after a restart that forgot what was sent, the budget grows from none.
     fn cold_room(&self, View { set, now }: View, id: &ServerId, s: &Server) -> bool {
         let warmth = s.warmth(set, now);
         if warmth >= 1.0 {
             return true;
         }
-        let sends = self.sends.len() as f64;
-        let like_warm = if self.warm > 0.0 { sends / self.warm * s.weight * warmth } else { 0.0 };
+        let served = self.served.len() as f64;
+        let like_warm = if self.warm > 0.0 { served / self.warm * s.weight * warmth } else { 0.0 };
         let most = (like_warm * set.fall_multiple * COLD_SHARE).max(COLD_LEAST / self.cover);
         let span = set.overload_for.max(set.tick);
         let recent = s.sent.iter().filter(|t| now - **t <= span).count() as f64;
-        let slot = hash(id) ^ u64::from(set.me) << 32 ^ (now / span) as u64;
-        recent + 1.0 <= most || (recent < 1.0 && fastrand::Rng::with_seed(slot).f64() < most)
+        if recent + 1.0 <= most * ((now - s.seen) / span).min(1.0) {
+            return true;
+        }
+        let own = hash(id) ^ u64::from(set.me) << 32;
+        let phase = fastrand::Rng::with_seed(own).f64();
+        let turn = (now / span + phase).floor();
+        let begun = (turn - phase) * span >= s.seen;
+        recent < 1.0 && begun && fastrand::Rng::with_seed(own ^ turn as u64).f64() < most
     }
 
     /// The best server for a request, or none where every one that may take it has enough.
@@ -396,8 +413,6 @@
         if s.warmth(set, now) < 1.0 {
             s.sent.retain(|t| now - t <= set.overload_for);
             s.sent.push(now);
-        } else {
-            self.sends.push_back(now);
         }
         Some((s.zone.clone(), s.cell))
     }
@@ -411,9 +426,12 @@
     }
 
     /// A good answer: nothing is held against the server any more.
-    pub fn answered(&mut self, now: f64, id: &ServerId) {
+    pub fn answered(&mut self, View { set, now }: View, id: &ServerId) {
         if let Some(s) = self.servers.get_mut(id) {
             (s.heard, s.fails, s.ejections) = (now, 0, 0);
+            if s.warmth(set, now) >= 1.0 {
+                self.served.push_back(now);
+            }
         }
     }
 
--- a/crates/decision/src/policy/life.rs
+++ b/crates/decision/src/policy/life.rs
@@ -250,7 +250,7 @@
         how: (bool, Outcome, f64, f64),
         out: &mut Vec<Action>,
     ) {
-        let View { set, now } = view;
+        let set = view.set;
         let (finished, outcome, took, actual) = how;
         let Some(r) = self.requests.get_mut(&id) else { return };
         let (class, guess, key) = (r.class, r.units, r.customer.clone());
@@ -272,7 +272,7 @@
                     self.retry_saved = (self.retry_saved + RETRY.2).min(RETRY.1);
                 }
                 self.fleet.pace(view, &server, (took, aim), false);
-                self.fleet.answered(now, &server);
+                self.fleet.answered(view, &server);
             }
             Outcome::Full => {
                 let first = self.fleet.turned_away(view, &server, class);
