Discovery: any layout, one clock of silence, openings that overlap, nothing by an old list alone

Objects are now cut out of the stream in any layout (membership/messages.rs), 4 MiB each at most. - SILENCE began anew with every frame, so half a message or a trickle of spaces kept a dead watch alive. Six that hang in a row took over 9 s where 6 s are allowed, and 6 s after a move where 4 s are. Now one begins every 0.2 s (0.5 s where one has its head) beside the silent watch, which is followed on if it speaks first: after six that hang the news come at 3.7 s, worked out and seen. - While discovery was down there were moments in which nobody waited at the agent, and what it tells at its return counts at once. Now somebody always waits. - A new process went by `known` at once, asked only for what came after it, and was ready after 0.5 s without a list: a server that had drained before got requests. It now asks for the whole list and knows no server before that; ready without a list after 8.5 s, since nine in ten are to be ready within 10 s. Until then requests are refused at once.

Ruled out: openings that are refused, cut or answered other than 200 were quick enough before. If no list is known to be fresh in time, discovery was not reached and nothing counts as told: the last list is gone by on.

The module's wish to follow the list is no longer needed by the daemon, which follows it all the time.

--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -8,7 +8,6 @@
 
 use crate::inbox::{Answer, Arrival, Call, Ended, Forward, Gone, Inbox, Listed, News};
 use crate::log;
-use crate::membership::discovery::Discovery;
 use crate::peers::keepers::Keepers;
 use crate::peers::servers::{Attempt, Place, Servers};
 use clock::Clock;
@@ -29,7 +28,6 @@
 pub struct Peers {
     pub servers: Rc<Servers>,
     pub keepers: Rc<Keepers>,
-    pub list: Rc<Discovery>,
 }
 
 struct Running {
@@ -300,7 +298,8 @@
                     let _ = probe.await;
                 });
             }
-            Action::FollowServers => self.peers.list.follow.notify_one(),
+            // The list is followed all the time.
+            Action::FollowServers => {}
         }
     }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -53,8 +53,10 @@
 const ACCEPT_ON: Duration = Duration::from_millis(600);
 /// And what is open is finished for at most this time beyond the longest deadline.
 const FINISH: Duration = Duration::from_millis(50);
-/// How long the first news of discovery is waited for before clients are let in with the list at hand.
-const FIRST_NEWS: Duration = Duration::from_millis(500);
+/// How long the first list of discovery is waited for before clients are let in with the one at hand. What
+/// discovery had told before this process began counts as told to it: a server that drains since may stand in the
+/// list at hand as in service. Nine in ten that are restarted are to be ready within 10 s.
+const FIRST_LIST: Duration = Duration::from_millis(8_500);
 /// Descriptors kept for the listener, the runtime, discovery and whatever is being accepted.
 const RESERVE: usize = 24;
 const SOCKETS_DEFAULT: usize = 1_024;
@@ -312,7 +314,7 @@
     }
     let keepers = Keepers::new(all, pacer);
     let list = Rc::new(Discovery::new(discovery));
-    let peers = Peers { servers: servers.clone(), keepers: keepers.clone(), list: list.clone() };
+    let peers = Peers { servers: servers.clone(), keepers: keepers.clone() };
     let mut host = Host::new(settings.clone(), seed, inbox.clone(), peers);
     let memory = config.limits.memory_mb.filter(|mb| *mb > 0.0).unwrap_or(MEMORY_MB_DEFAULT);
     let bodies = (memory * BODY_SHARE * 1024.0 * 1024.0) as usize;
@@ -344,12 +346,7 @@
         // The file alone counts: what discovery knew before, or would tell now, could contradict it.
         spawn_local(source.follow(inbox.clone(), adopted.clone()));
     } else {
-        let after = config.known.as_ref().map(|known| known.generation);
-        if let Some(mut known) = config.known {
-            known.reset = true;
-            inbox.push(known.news());
-        }
-        spawn_local(list.clone().watch(inbox.clone(), after));
+        spawn_local(list.clone().watch(inbox.clone()));
     }
     spawn_local(reload(hangup, path, list.clone(), keepers));
     let accepting = spawn_local({
@@ -371,12 +368,17 @@
     log("liftrouter", format_args!("listening on {bound}"));
     spawn_local({
         let (clients, grpc) = (clients.clone(), grpc.as_ref().map(|(front, _)| front.clone()));
+        let inbox = inbox.clone();
         async move {
             if from_file {
                 adopted.notified().await;
-            } else {
-                // The list at hand may be old: the first clients should meet a fresh one.
-                let _ = timeout(FIRST_NEWS, list.heard()).await;
+            } else if timeout(FIRST_LIST, list.heard()).await.is_err() {
+                // Until here no server was known, so whoever came all the same was refused at once.
+                log("discovery", "no list came: going by the one in the configuration");
+                if let Some(mut known) = config.known {
+                    known.reset = true;
+                    inbox.push(known.news());
+                }
             }
             clients.set_ready();
             if let Some(front) = grpc {
--- a/crates/daemon/src/membership/discovery.rs
+++ b/crates/daemon/src/membership/discovery.rs
@@ -1,32 +1,43 @@
 //! Discovery: follows the list of servers on a watch, and takes it up again where it broke.
 
+use super::messages::{Sign, Splitter};
+use crate::count::Count;
 use crate::inbox::{Inbox, Listed, News};
 use crate::log;
 use crate::peers::link::Link;
-use bytes::BytesMut;
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use liftrouter_decision::{ServerEntry, ServerState};
 use serde::de::Error;
 use serde::{Deserialize, Deserializer};
 use std::cell::Cell;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::task::JoinSet;
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-/// An empty line comes every 2 s while nothing changes; when one is this late, the watch is broken. A peer that
-/// is cut off never errs: only its silence tells. What discovery tells counts as told after 6 s, or 4 s after
-/// a move, whether or not it arrived: by then another watch must have had the time to bring it.
-const SILENCE: Duration = Duration::from_secs(3);
+// What discovery tells counts as told 6 s after it had it and could be reached, and 4 s after a move, whether or
+// not it arrived. An empty line comes every 2 s while nothing changes, and a peer that is cut off never errs: only
+// silence tells. So from the last sign of life it takes SILENCE until others are opened, one every EVERY, none of
+// which waits for the one before. Each opening that is refused, hangs, or gets no further than its head costs
+// EVERY, or SPARE where all that are out have a head: six in a row leave room for a busy machine still.
+
+/// A watch that has given no sign of life for so long is taken to be broken.
+const SILENCE: Duration = Duration::from_millis(2_500);
 /// How long connecting, and the head of an answer, may take.
-const OPENING: Duration = Duration::from_secs(1);
-/// Pause after a broken watch, doubled with each further one that brought nothing.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
-/// The longest line; a list of some ten thousand servers fits.
-const MAX_LINE: usize = 4 << 20;
+const OPENING: Duration = Duration::from_millis(800);
+/// Openings begin so long after one another while none has its head, and where one has.
+const EVERY: Duration = Duration::from_millis(200);
+const SPARE: Duration = Duration::from_millis(500);
+/// The most openings at once: more than fit into their times, as a guard of the descriptors.
+const MOST_OPENINGS: usize = 10;
+/// The longest message; a list of some ten thousand servers fits.
+const LONGEST: usize = 4 << 20;
 
 /// A message of discovery: the whole list, or what changed.
 #[derive(Deserialize)]
@@ -104,22 +115,53 @@
 
 pub struct Discovery {
     address: Cell<SocketAddr>,
-    /// The address has changed: the watch and every pause before the next one end.
+    /// The address has changed: all that is open or being opened ends.
     moved: Notify,
-    /// The module asks for the list: a pause between two watches ends early.
-    pub follow: Notify,
     heard: Notify,
     open: Rc<Cell<usize>>,
+    /// Openings that have their head and wait for a first sign of life.
+    heads: Rc<Cell<usize>>,
+}
+
+/// A watch that has given a sign of life.
+struct Watch {
+    link: Link,
+    body: Incoming,
+    splitter: Splitter,
+    /// Its latest sign of life.
+    alive: Instant,
+}
+
+impl Watch {
+    /// Waits for the next sign of life: an update, or none where it only tells that nothing changed.
+    async fn next(&mut self) -> Result<Option<Update>, String> {
+        loop {
+            if let Some(sign) = self.splitter.next_sign()? {
+                self.alive = Instant::now();
+                return match sign {
+                    Sign::EmptyLine => Ok(None),
+                    Sign::Message(text) => serde_json::from_slice(&text)
+                        .map(Some)
+                        .map_err(|e| format!("a message cannot be read: {e}")),
+                };
+            }
+            let frame = self.link.drive(self.body.frame()).await;
+            let frame = frame.ok_or("the watch ended")?.map_err(|e| format!("the watch broke: {e}"))?;
+            self.splitter.push(frame.data_ref().map_or(&[][..], |data| data));
+        }
+    }
 }
 
+type Opened = Result<(Watch, Option<Update>), String>;
+
 impl Discovery {
     pub fn new(address: SocketAddr) -> Self {
         Discovery {
             address: Cell::new(address),
             moved: Notify::new(),
-            follow: Notify::new(),
             heard: Notify::new(),
             open: Rc::default(),
+            heads: Rc::default(),
         }
     }
 
@@ -131,39 +173,86 @@
         }
     }
 
-    /// Waits for the first line of a watch.
+    /// Waits for the first sign of life.
     pub async fn heard(&self) {
         self.heard.notified().await;
     }
 
-    /// Follows the list for as long as the program runs, from the version that is known at the start.
-    pub async fn watch(self: Rc<Self>, inbox: Rc<Inbox>, mut after: Option<u64>) {
-        let mut fruitless = 0;
+    /// Follows the list for as long as the program runs. It begins with a whole list, whatever was known before:
+    /// with nothing changed since that, a watch would say nothing for seconds.
+    ///
+    /// Silent or not, a watch is kept until another has given a sign of life: while discovery is down all are
+    /// silent, and what comes at its return counts at once. Whichever speaks first is followed, the others end:
+    /// all of them tell what came after the same version.
+    pub async fn watch(self: Rc<Self>, inbox: Rc<Inbox>) {
+        let mut after: Option<u64> = None;
+        let mut watch: Option<Watch> = None;
+        let mut openings: JoinSet<Opened> = JoinSet::new();
+        // When the latest opening began, and how many came to nothing since a sign of life.
+        let (mut began, mut fruitless) = (None::<Instant>, 0u32);
         loop {
-            let before = after;
-            let broken = async {
-                let Err(why) = self.watch_once(&inbox, self.address.get(), &mut after).await;
-                fruitless = if after == before { fruitless + 1 } else { 0 };
-                log("discovery", &why);
-                inbox.push(News::ListBroken);
-                let pause = BACKOFF.1.min(BACKOFF.0 * (1 << u32::min(fruitless, 8)));
-                tokio::time::sleep(BACKOFF.0).await;
-                let _ = timeout(pause, self.follow.notified()).await;
+            let pace = if self.heads.get() > 0 { SPARE } else { EVERY };
+            let paced = began.map_or_else(Instant::now, |at| at + pace);
+            let due = watch.as_ref().map_or(paced, |watch| paced.max(watch.alive + SILENCE));
+            let sign = async {
+                match &mut watch {
+                    Some(watch) => watch.next().await,
+                    None => pending().await,
+                }
             };
             tokio::select! {
-                () = broken => {}
-                () = self.moved.notified() => fruitless = 0,
+                biased;
+                () = self.moved.notified() => (watch, openings, began) = (None, JoinSet::new(), None),
+                sign = sign => match sign {
+                    Ok(update) => {
+                        (openings, fruitless) = (JoinSet::new(), 0);
+                        self.take_in(&inbox, update, &mut after);
+                    }
+                    Err(why) => {
+                        log("discovery", why);
+                        inbox.push(News::ListBroken);
+                        watch = None;
+                    }
+                },
+                Some(opened) = openings.join_next() => match opened {
+                    Ok(Ok((opened, update))) => {
+                        (watch, openings, fruitless) = (Some(opened), JoinSet::new(), 0);
+                        self.take_in(&inbox, update, &mut after);
+                    }
+                    Ok(Err(why)) => {
+                        fruitless += 1;
+                        // Down for minutes, it must not fill the log.
+                        if fruitless.is_power_of_two() {
+                            log("discovery", format_args!("{why} (opening {fruitless})"));
+                        }
+                    }
+                    Err(_) => {}
+                },
+                () = sleep_until(due) => {
+                    began = Some(Instant::now());
+                    if openings.len() < MOST_OPENINGS {
+                        openings.spawn_local(self.clone().open(self.address.get(), after));
+                    }
+                }
             }
         }
     }
 
-    async fn watch_once(
-        &self,
-        inbox: &Inbox,
-        address: SocketAddr,
-        after: &mut Option<u64>,
-    ) -> Result<std::convert::Infallible, String> {
-        let opening = async {
+    fn take_in(&self, inbox: &Inbox, update: Option<Update>, after: &mut Option<u64>) {
+        if let Some(mut update) = update {
+            // What is changed since no version is the whole list.
+            update.reset |= after.is_none();
+            *after = Some(update.generation);
+            inbox.push(update.news());
+        }
+        if after.is_some() {
+            self.heard.notify_one();
+        }
+    }
+
+    /// Opens a watch and waits for its first sign of life.
+    async fn open(self: Rc<Self>, address: SocketAddr, after: Option<u64>) -> Opened {
+        let head = async {
             let mut link =
                 Link::connect(address, &self.open).await.map_err(|e| format!("no connection: {e}"))?;
             let after = after.map(|v| format!("&after={v}")).unwrap_or_default();
@@ -174,33 +263,15 @@
                 link.open(request).await.map_err(|_| "the watch broke before its answer".to_string())?;
             Ok::<_, String>((link, answer))
         };
-        let (mut link, answer) = timeout(OPENING, opening).await.map_err(|_| "no answer".to_string())??;
+        let (link, answer) = timeout(OPENING, head).await.map_err(|_| "no answer".to_string())??;
         if answer.status() != StatusCode::OK {
             return Err(format!("the watch was answered {}", answer.status()));
         }
-        let mut body = answer.into_body();
-        let mut buffer = BytesMut::new();
-        loop {
-            let frame = timeout(SILENCE, link.drive(body.frame())).await;
-            let frame = frame.map_err(|_| "the watch fell silent".to_string())?;
-            let frame = frame.ok_or("the watch ended")?.map_err(|e| format!("the watch broke: {e}"))?;
-            // Lines come in pieces: only whole ones are read.
-            buffer.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data));
-            while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
-                let line = buffer.split_to(end + 1);
-                let line = line.trim_ascii();
-                self.heard.notify_one();
-                if line.is_empty() {
-                    continue;
-                }
-                let update: Update =
-                    serde_json::from_slice(line).map_err(|e| format!("a line cannot be read: {e}"))?;
-                *after = Some(update.generation);
-                inbox.push(update.news());
-            }
-            if buffer.len() > MAX_LINE {
-                return Err("a line is too long".into());
-            }
-        }
+        let _head = Count::new(self.heads.clone());
+        let (body, alive) = (answer.into_body(), Instant::now());
+        let mut watch = Watch { link, body, splitter: Splitter::new(LONGEST), alive };
+        let first = timeout_at(alive + SILENCE, watch.next()).await;
+        let update = first.map_err(|_| "the watch was silent from its head on".to_string())??;
+        Ok((watch, update))
     }
 }
--- a/crates/daemon/src/membership/mod.rs
+++ b/crates/daemon/src/membership/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod discovery;
 pub mod file;
+mod messages;
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -101,7 +101,11 @@
 
 impl Fake {
     pub fn new(rule: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Fake {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+        Fake::at(TcpListener::bind("127.0.0.1:0").expect("bind"), rule)
+    }
+
+    /// The same on a listener that is there.
+    pub fn at(listener: TcpListener, rule: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Fake {
         let fake = Fake { address: listener.local_addr().expect("address"), log: Arc::default() };
         let (log, rule) = (fake.log.clone(), Arc::new(rule));
         thread::spawn(move || {
@@ -139,6 +143,11 @@
         self.log.let_go.lock().expect("lock").clone()
     }
 
+    /// How many requests with this id came.
+    pub fn copies(&self, id: &str) -> usize {
+        self.seen().iter().filter(|m| m.header("x-correlation-id") == Some(id)).count()
+    }
+
     /// Writes to every connection that is open.
     pub fn push(&self, bytes: &str) {
         for mut stream in self.log.streams.lock().expect("lock").iter() {
@@ -245,6 +254,41 @@
             "max-retry-after-s": 2.0, "may-probe": true, "retry-after": true, "second-copies": false}})
 }
 
+/// An address at which nobody listens, until the socket is told to. It is held, so that no other test gets it.
+pub fn nobody() -> (socket2::Socket, SocketAddr) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bind");
+    let address = socket.local_addr().ok().and_then(|a| a.as_socket()).expect("address");
+    (socket, address)
+}
+
+/// A listener whose queue is full: connections to it neither come up nor fail.
+pub fn never_up() -> (socket2::Socket, SocketAddr, Vec<TcpStream>) {
+    let (socket, address) = nobody();
+    socket.listen(0).expect("listen");
+    let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(300));
+    let filled = std::iter::from_fn(|| fill().ok()).collect();
+    (socket, address, filled)
+}
+
+/// Something that a test opens once.
+#[derive(Clone, Default)]
+pub struct Gate(Arc<AtomicBool>);
+
+impl Gate {
+    pub fn open(&self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+
+    /// Waits until it is open.
+    pub fn pass(&self) {
+        let end = Instant::now() + PATIENCE;
+        while !self.0.load(Ordering::SeqCst) && Instant::now() < end {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
+
 /// The real binary.
 pub struct Limiter {
     pub address: SocketAddr,
@@ -290,6 +334,15 @@
         Limiter::launch(command, file, config, discovery.address)
     }
 
+    /// Starts it with a list of servers that it had before, and does not wait.
+    pub fn with_known(known: &str, settings: Value, discovery: SocketAddr) -> Limiter {
+        let known: Value = serde_json::from_str(known).expect("a list");
+        let config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "00000000000000ff",
+            "discovery": discovery.to_string(), "known": known, "settings": settings});
+        let file = scratch(&config.to_string());
+        Limiter::spawn(command(), file, config, discovery)
+    }
+
     /// Starts it with an operator's own file, and does not wait.
     pub fn with_operator(operator: &std::path::Path, settings: Value, discovery: SocketAddr) -> Limiter {
         Limiter::with_operator_and_counter(operator, settings, discovery, None)
@@ -380,15 +433,32 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).expect("connect");
-        stream.set_read_timeout(Some(PATIENCE)).expect("set");
-        Client { reader: BufReader::new(stream.try_clone().expect("clone")), stream }
+        Client::to(self.address)
     }
 
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
 
+    /// Stands still from when this returns: what happens until it goes on, it finds all in one moment.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.pid());
+        wait_until("it stands still", || {
+            let stat = std::fs::read_to_string(&stat).expect("its state");
+            stat.rsplit_once(')').is_some_and(|(_, rest)| rest.trim_start().starts_with('T'))
+        });
+    }
+
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Descriptors that it has open.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.pid())).expect("its descriptors").count()
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
@@ -446,6 +516,12 @@
 }
 
 impl Client {
+    pub fn to(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("connect");
+        stream.set_read_timeout(Some(PATIENCE)).expect("set");
+        Client { reader: BufReader::new(stream.try_clone().expect("clone")), stream }
+    }
+
     pub fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).expect("send");
     }
@@ -479,10 +555,25 @@
     pub fn close(self) {
         let _ = self.stream.shutdown(Shutdown::Both);
     }
+
+    /// Ends its own sending alone.
+    pub fn end_sending(&self) {
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
+    /// Leaves with a reset.
+    pub fn reset(self) {
+        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
 }
 
 static NEXT_ID: AtomicU32 = AtomicU32::new(1);
 
+/// The id in a request's text.
+pub fn id_of(request: &str) -> &str {
+    request.split("X-Correlation-Id: ").nth(1).and_then(|rest| rest.split("\r\n").next()).expect("an id")
+}
+
 /// A request of class `quote`, safe to repeat.
 pub fn quote(plan: &str, left_ms: u32) -> String {
     let id = NEXT_ID.fetch_add(1, Ordering::SeqCst);
--- a/crates/daemon/tests/program.rs
+++ b/crates/daemon/tests/program.rs
@@ -3,7 +3,7 @@
 
 use common::*;
 use serde_json::json;
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
@@ -17,14 +17,6 @@
     move |_| if count.fetch_add(1, Ordering::SeqCst) < n { rule() } else { ok("late but good") }
 }
 
-/// An address at which nobody listens, until the socket is told to. It is held, so that no other test gets it.
-fn nobody() -> (socket2::Socket, SocketAddr) {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("socket");
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bind");
-    let address = socket.local_addr().ok().and_then(|a| a.as_socket()).expect("address");
-    (socket, address)
-}
-
 // ----- relaying -----
 
 #[test]
@@ -281,15 +273,6 @@
 
 // ----- discovery -----
 
-/// A listener whose queue is full: connections to it neither come up nor fail.
-fn never_up() -> (socket2::Socket, SocketAddr, Vec<TcpStream>) {
-    let (socket, address) = nobody();
-    socket.listen(0).expect("listen");
-    let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(300));
-    let filled = std::iter::from_fn(|| fill().ok()).collect();
-    (socket, address, filled)
-}
-
 #[test]
 fn a_server_that_drains_while_it_is_connected_to_gets_nothing() {
     let (listener, stuck, filled) = never_up();
