Clients that leave, the end of the process, and descriptors: what is owed in each narrow moment

The host now drops what is not written whole, also once the answer is given (host/mod.rs answer, hear). - hyper looks for no end while bytes lie unread behind a request (http.rs exchange): such a client stayed until its answer, and its request was sent again. The socket reads on by itself while a request waits: 16 KiB kept for whoever reads next, a connection that brought more closes with its answer, one that sends a megabyte has gone. A half-close counts as gone: nothing tells it from a close, and sending for one that closed is a break. - Fifty that came and went in one wake-up of the process were all sent on; none is now. - main.rs gave requests their whole deadline after SIGTERM: with 5 s the process ended after 5.1 s, where SIGKILL comes after 3.7 s. What is not answered 0.3 s before that is now answered as failed; nothing is taken that has no time left. - An attempt that nobody waits for any more made the exit code 1. Only what is owed an answer counts. - Half a request was dropped by drain and all_closed while the rest was on its way. It has its time now. - A last answer was read on for 0.1 s only once connections were being closed (all_closed, and a call to close that was left over from before): bytes that came later reset it. Now for its 0.5 s. - Connections were counted when first polled, after up to 128 had been accepted (http.rs accept): with a limit of 128 descriptors 192 were open, with 72 it were 123. Counted when accepted now.

Ruled out by tests that pass before too: requests that cross SIGTERM in either order, clients that send for as long as they can, connections that rest, a second SIGTERM, SIGTERM before readiness, requests written one behind another. Failed try: passing over each connection that was asked to close once; then those that ask lost their places to a flood of silent ones, as an existing test showed.

--- a/crates/daemon/src/fronts/gate.rs
+++ b/crates/daemon/src/fronts/gate.rs
@@ -29,6 +29,8 @@
     authorisers: Authorisers,
     /// Requests that an authoriser is asked about.
     waiting: Cell<usize>,
+    /// When the last answers are given, once the process ends.
+    end: Cell<Option<Instant>>,
 }
 
 /// What an authoriser would be asked about a request.
@@ -48,8 +50,21 @@
         body_budget: usize,
         authorisers: Authorisers,
     ) -> Rc<Self> {
-        let (bodies, open_ids, waiting) = Default::default();
-        Rc::new(Gate { settings, inbox, body_budget, bodies, open_ids, authorisers, waiting })
+        let (bodies, open_ids, waiting, end) = Default::default();
+        Rc::new(Gate { settings, inbox, body_budget, bodies, open_ids, authorisers, waiting, end })
+    }
+
+    /// From now on nothing is taken that cannot be answered before that time.
+    pub fn end_at(&self, end: Instant) {
+        self.end.set(Some(end));
+    }
+
+    /// When an answer has to be given that is due then at the latest; none where that can no longer be done.
+    pub fn due(&self, due: Instant) -> Option<Instant> {
+        match self.end.get() {
+            None => Some(due),
+            Some(end) => Some(due.min(end)).filter(|due| *due > Instant::now()),
+        }
     }
 
     /// Takes so many bytes from the budget of all, if they are left.
--- a/crates/daemon/src/fronts/grpc/call.rs
+++ b/crates/daemon/src/fronts/grpc/call.rs
@@ -204,6 +204,8 @@
     if now >= due {
         return Err(too_late());
     }
+    let ending = || Status::new(Code::Unavailable, "the limiter is ending");
+    let due = grpc.gate.due(due).ok_or_else(ending)?;
     let arrival = Arrival {
         customer,
         plan: asked.plan,
--- a/crates/daemon/src/fronts/http.rs
+++ b/crates/daemon/src/fronts/http.rs
@@ -25,8 +25,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::convert::Infallible;
+use std::future::{poll_fn, ready};
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -50,6 +52,8 @@
 /// The same for one that has never brought a whole request, where others wait for its place: a usual client
 /// connects because it has one to send.
 const NEVER_ASKED: Duration = Duration::from_millis(30);
+/// Connections that never asked may take one in so many places before one that did gives way to them.
+const SILENT_PART: usize = 4;
 const MAX_HEAD: usize = 16 * 1024;
 
 pub struct Clients {
@@ -66,26 +70,53 @@
 /// What is known of a client's connection.
 struct Connection {
     busy: Cell<bool>,
+    /// A request has come whole and waits for its answer.
+    waiting: Cell<bool>,
     /// Whether it has brought a whole head.
     asked: Cell<bool>,
     /// Since when it is busy or idle: at first since it came.
     since: Cell<Instant>,
     /// Its answer says that it closes.
     closing: Cell<bool>,
+    /// Its last answer is out: it is only read on.
+    lingering: Cell<bool>,
+    /// Since when it is asked to give way: one that cannot for long is passed over.
+    told: Cell<Option<Instant>>,
+    socket: Rc<Socket>,
     /// Asks it to close once no request is open on it.
     close: Notify,
 }
 
 impl Connection {
+    fn new(socket: Rc<Socket>) -> Rc<Self> {
+        Rc::new(Connection {
+            busy: Cell::new(false),
+            waiting: Cell::new(false),
+            asked: Cell::new(false),
+            since: Cell::new(Instant::now()),
+            closing: Cell::new(false),
+            lingering: Cell::new(false),
+            told: Cell::new(None),
+            socket,
+            close: Notify::new(),
+        })
+    }
+
     fn at_rest(&self) -> bool {
         !self.busy.get() && self.since.get().elapsed() > AT_REST
     }
 
+    /// Whether its client has written a part of a request.
+    fn has_begun(&self) -> bool {
+        self.socket.has_recorded()
+    }
+
     /// Whether it may give way to a new one. Those that never asked come first, so that silent connections
     /// crowd out no client.
     fn rank_to_close(&self) -> Option<(bool, Instant)> {
+        let stuck = self.told.get().is_some_and(|since| since.elapsed() > AT_REST);
         let silent = !self.asked.get() && !self.busy.get() && self.since.get().elapsed() > NEVER_ASKED;
-        (silent || self.at_rest()).then(|| (self.asked.get(), self.since.get()))
+        (!stuck && (silent || self.at_rest())).then(|| (self.asked.get(), self.since.get()))
     }
 }
 
@@ -118,25 +149,36 @@
             }
             full
         };
-        let take = |stream| drop(tokio::task::spawn_local(self.clone().serve(Socket::new(stream))));
+        // Counted from here on: many may be accepted before the first of them has its turn.
+        let take = |stream| {
+            let socket = Socket::new(stream);
+            let number = self.next.replace(self.next.get() + 1);
+            let state = Connection::new(socket.clone());
+            self.connections.borrow_mut().insert(number, state.clone());
+            tokio::task::spawn_local(self.clone().serve(number, socket, state));
+        };
         accept(listener, "clients", &self.closed, full, take).await;
     }
 
     /// Begins the end: answers carry `Connection: close`, idle connections are closed.
     pub fn drain(&self) {
         self.draining.set(true);
-        // On those that have not asked yet, a request is most likely on its way.
-        for connection in self.connections.borrow().values().filter(|c| c.asked.get()) {
+        // On those that have not asked yet, a request is most likely on its way; on those where half a one has
+        // come, the rest is.
+        let connections = self.connections.borrow();
+        for connection in connections.values().filter(|c| c.asked.get() && !c.has_begun()) {
             connection.close.notify_one();
         }
     }
 
-    /// Closes connections as they come to rest, until none is left.
+    /// Closes connections as they come to rest, until none is left. Half a request has its time to come whole, and
+    /// a last answer the time to be read.
     pub async fn all_closed(&self) {
         while !self.connections.borrow().is_empty() {
-            for connection in self.connections.borrow().values().filter(|c| c.at_rest()) {
-                connection.close.notify_one();
-            }
+            let connections = self.connections.borrow();
+            let rests = |c: &&Rc<Connection>| c.at_rest() && !c.has_begun() && !c.lingering.get();
+            connections.values().filter(rests).for_each(|c| c.close.notify_one());
+            drop(connections);
             let _ = timeout(ACCEPT_PAUSE, self.closed.notified()).await;
         }
     }
@@ -144,26 +186,31 @@
     fn close_idlest(&self) {
         let connections = self.connections.borrow();
         let ranked = connections.values().filter_map(|c| Some((c.rank_to_close()?, c)));
-        if let Some((_, idlest)) = ranked.min_by_key(|(rank, _)| *rank) {
+        let silent = connections.values().filter(|c| !c.asked.get() && !c.busy.get()).count();
+        if let Some(((asked, _), idlest)) = ranked.min_by_key(|(rank, _)| *rank) {
+            // Those that never asked are let go in a moment: many of them push out nobody who did.
+            if asked && silent * SILENT_PART >= self.budget {
+                return;
+            }
+            idlest.told.set(idlest.told.get().or_else(|| Some(Instant::now())));
             idlest.close.notify_one();
         }
     }
 
-    async fn serve(self: Rc<Self>, socket: Rc<Socket>) {
-        let number = self.next.replace(self.next.get() + 1);
-        let state = Rc::new(Connection {
-            busy: Cell::new(false),
-            asked: Cell::new(false),
-            since: Cell::new(Instant::now()),
-            closing: Cell::new(false),
-            close: Notify::new(),
-        });
-        self.connections.borrow_mut().insert(number, state.clone());
+    async fn serve(self: Rc<Self>, number: u64, socket: Rc<Socket>, state: Rc<Connection>) {
         socket.record(MAX_HEAD);
         if self.exchange(&socket, &state).await {
             // Nothing is owed to it any more: it gives way as one that never asked does.
             state.asked.set(false);
+            state.lingering.set(true);
+            state.told.set(None);
             state.since.set(Instant::now());
+            // Asked to close before its last answer was out, it need not close at once now.
+            tokio::select! {
+                biased;
+                () = state.close.notified() => {}
+                () = ready(()) => {}
+            }
             tokio::select! {
                 () = socket.linger(LINGER.0, LINGER.1) => {}
                 () = state.close.notified() => {}
@@ -181,7 +228,7 @@
             async move {
                 let first = (!state.asked.replace(true)).then(|| state.since.get());
                 let _busy = Busy::new(state.clone());
-                let reply = clients.respond(request, &socket, first).await;
+                let reply = clients.respond(request, &socket, &state, first).await;
                 state.closing.set(reply.headers().contains_key(CONNECTION));
                 Ok::<_, Infallible>(reply)
             }
@@ -192,11 +239,19 @@
         let mut connection = pin!(http.serve_connection(TokioIo::new(Tracked(socket.clone())), service));
         loop {
             tokio::select! {
+                // What it reads next it gets first.
+                biased;
                 // An error here is the client's: it left, was too slow, or sent what is no HTTP and was told so.
                 end = connection.as_mut() => return match end {
                     Ok(()) => state.closing.get(),
                     Err(e) => e.is_parse(),
                 },
+                // hyper looks for no end behind bytes that it has not taken, so it is looked for here. A client
+                // that ends its own sending alone has gone too: nothing tells it from one that closed, and
+                // what is sent for one that closed may be a break.
+                () = poll_fn(|cx| if state.waiting.get() { socket.poll_gone(cx) } else { Poll::Pending }) => {
+                    return false;
+                }
                 () = state.close.notified() => {
                     // A request that lies unread would be lost with its connection: it is served first.
                     if state.busy.get() || socket.quiet() {
@@ -216,12 +271,13 @@
         self: Rc<Self>,
         request: Request<Incoming>,
         socket: &Socket,
+        state: &Connection,
         first: Option<Instant>,
     ) -> Reply {
         let chunked = request.headers().contains_key(TRANSFER_ENCODING);
         let raw = if chunked { socket.recorded() } else { Vec::new() };
         socket.record(0);
-        let mut reply = match self.take(request, raw, first).await {
+        let mut reply = match self.take(request, raw, (state, first)).await {
             Ok(reply) => reply,
             Err(Rejected(status, why)) => {
                 // What was not read of the request is not to be taken for the next one.
@@ -233,8 +289,9 @@
             }
         };
         socket.record(MAX_HEAD);
-        // Behind a chunked body nothing is read as a request, whatever another reader would find there.
-        if chunked || self.draining.get() {
+        // Behind a chunked body nothing is read as a request, whatever another reader would find there; nor where
+        // a part is missing.
+        if chunked || socket.overrun() || self.draining.get() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         reply
@@ -244,7 +301,7 @@
         &self,
         request: Request<Incoming>,
         raw: Vec<u8>,
-        first: Option<Instant>,
+        (state, first): (&Connection, Option<Instant>),
     ) -> Result<Reply, Rejected> {
         if request.uri().path() == "/up" {
             return Err(match (request.method(), self.ready.get() && !self.draining.get()) {
@@ -279,6 +336,7 @@
         }
         // The last byte has come: from here on the request is taken and owed one answer.
         let due = Instant::now() + checked.time_left.saturating_sub(MARGIN);
+        let due = self.gate.due(due).ok_or(Rejected(StatusCode::SERVICE_UNAVAILABLE, "ending\n"))?;
         let target =
             head.uri.path_and_query().cloned().ok_or(Rejected(StatusCode::NOT_FOUND, "no path\n"))?;
         let _open = self
@@ -305,7 +363,9 @@
         };
         let make = || question(&head, size);
         let asked = Question { make: &make, via: &[], due };
+        state.waiting.set(true);
         let (answer, changes) = self.gate.ask(arrival, &asked).await;
+        state.waiting.set(false);
         Ok(match answer {
             Answer::Served(answer) => {
                 let (head, body) = answer.into_parts();
@@ -385,6 +445,7 @@
 impl Busy {
     fn new(connection: Rc<Connection>) -> Self {
         connection.busy.set(true);
+        connection.told.set(None);
         Busy(connection)
     }
 }
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -6,7 +6,7 @@
 
 mod clock;
 
-use crate::inbox::{Answer, Arrival, Call, Ended, Forward, Gone, Inbox, Listed, News};
+use crate::inbox::{Answer, Arrival, Call, Ended, Forward, Gone, Inbox, Listed, News, Reply};
 use crate::log;
 use crate::peers::keepers::Keepers;
 use crate::peers::servers::{Attempt, Place, Servers};
@@ -20,7 +20,6 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, Instant};
 
@@ -41,7 +40,7 @@
 struct Open {
     /// None for a permission.
     forward: Option<Rc<Forward>>,
-    reply: Option<oneshot::Sender<Answer>>,
+    reply: Option<Reply>,
     attempts: u32,
     /// The attempt that is out, with its number; there is one at most.
     running: Option<(u32, Running)>,
@@ -139,6 +138,8 @@
                 // still has to hear of.
                 if self.requests.get_mut(&id).is_none_or(|open| open.reply.take().is_some()) {
                     self.feed(Event::ClientGone { id });
+                    self.drop_unwritten(id);
+                    self.work_off();
                     self.forget(id);
                 }
             }
@@ -160,10 +161,21 @@
                 self.listed(whole, servers);
             }
             News::ListBroken => self.feed(Event::DiscoveryBroken),
+            News::LastCall => self.last_call(),
         }
     }
 
-    fn asked(&mut self, id: RequestId, arrival: Arrival, reply: oneshot::Sender<Answer>) {
+    /// Answers what nobody else will any more, with no promise; the module hears that no answer is owed.
+    fn last_call(&mut self) {
+        let owed: Vec<_> =
+            self.requests.iter().filter(|(_, o)| o.reply.is_some()).map(|(id, _)| *id).collect();
+        for id in owed {
+            self.answer(id, Answer::Failed);
+            self.feed(Event::ClientGone { id });
+        }
+    }
+
+    fn asked(&mut self, id: RequestId, arrival: Arrival, reply: Reply) {
         let (forward, due) = match arrival.call {
             Call::Forward(forward) => {
                 let due = forward.due;
@@ -191,7 +203,7 @@
         let Some((_, running)) = open.running.take_if(|(number, _)| *number == n) else { return };
         if let Some(answer) = ended.answer {
             if let Some(reply) = open.reply.take() {
-                let _ = reply.send(Answer::Served(answer));
+                reply.send(Answer::Served(answer));
             }
         }
         self.queue.push_back(Event::AttemptEnded {
@@ -342,11 +354,23 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         if let Some(reply) = self.requests.get_mut(&id).and_then(|open| open.reply.take()) {
-            let _ = reply.send(answer);
+            reply.send(answer);
         }
+        self.drop_unwritten(id);
         self.forget(id);
     }
 
+    /// Ends an attempt of a request that is over, where it has not been written whole: whether attempts may be
+    /// called off or not, it never runs. One that is written stays out until its end is seen.
+    fn drop_unwritten(&mut self, id: RequestId) {
+        let running = self.requests.get(&id).and_then(|open| open.running.as_ref());
+        if let Some(n) = running.filter(|(_, r)| !r.attempt.sent()).map(|(n, _)| *n) {
+            if self.stop(id, n) {
+                self.attempt_ended(id, n, Ended::of(Outcome::Moot));
+            }
+        }
+    }
+
     fn forget(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|open| open.reply.is_none() && open.running.is_none()) {
             self.requests.remove(&id);
--- a/crates/daemon/src/inbox.rs
+++ b/crates/daemon/src/inbox.rs
@@ -3,6 +3,7 @@
 //! Fronts, peers and membership hold a handle and push; none of them knows the host. News are taken in the
 //! order in which they were pushed. Everything runs on one thread, so there is no lock.
 
+use crate::count::Count;
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::uri::PathAndQuery;
@@ -89,7 +90,7 @@
 /// What happened.
 pub enum News {
     /// A request whose last byte has come, and where its one answer goes.
-    Asked(RequestId, Arrival, oneshot::Sender<Answer>),
+    Asked(RequestId, Arrival, Reply),
     /// The client closed its connection before it was answered.
     ClientGone(RequestId),
     /// An attempt has ended, and with it its use of a connection unless that can serve again.
@@ -106,6 +107,21 @@
     Listed { whole: bool, servers: Vec<Listed>, version: Option<u64> },
     /// The list can no longer be followed.
     ListBroken,
+    /// The process ends before long: what is not answered yet is answered now.
+    LastCall,
+}
+
+/// Where the one answer to a request goes; until then it is owed.
+pub struct Reply {
+    sender: oneshot::Sender<Answer>,
+    _owed: Count<Rc<Cell<usize>>>,
+}
+
+impl Reply {
+    /// Its client may have gone.
+    pub fn send(self, answer: Answer) {
+        let _ = self.sender.send(answer);
+    }
 }
 
 /// The inbox, shared by handle.
@@ -115,6 +131,7 @@
     some: Notify,
     last_id: Cell<RequestId>,
     open: Cell<usize>,
+    owed: Rc<Cell<usize>>,
 }
 
 impl Inbox {
@@ -132,8 +149,8 @@
         let id = self.last_id.get() + 1;
         self.last_id.set(id);
         self.open.set(self.open.get() + 1);
-        let (reply, answer) = oneshot::channel();
-        self.push(News::Asked(id, arrival, reply));
+        let (sender, answer) = oneshot::channel();
+        self.push(News::Asked(id, arrival, Reply { sender, _owed: Count::new(self.owed.clone()) }));
         (id, answer)
     }
 
@@ -142,6 +159,11 @@
         self.open.get()
     }
 
+    /// Requests that no answer has been given to.
+    pub fn owed(&self) -> usize {
+        self.owed.get()
+    }
+
     /// For the host: a request is over.
     pub fn closed(&self) {
         self.open.set(self.open.get().saturating_sub(1));
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -22,7 +22,7 @@
 use fronts::http::Clients;
 use group::Group;
 use host::{Host, Peers};
-use inbox::Inbox;
+use inbox::{Inbox, News};
 use liftrouter_decision::Settings;
 use liftrouter_inventory::Form;
 use liftrouter_keeper::Pacer;
@@ -46,13 +46,18 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// After SIGTERM new connections go on coming for up to 0.4 s; they are accepted for at least this long, and
 /// for as long as anything is open.
 const ACCEPT_ON: Duration = Duration::from_millis(600);
-/// And what is open is finished for at most this time beyond the longest deadline.
-const FINISH: Duration = Duration::from_millis(50);
+/// SIGKILL comes this long after SIGTERM at the earliest, and the longest deadline later, of which no more than
+/// so much counts.
+const KILLED: (Duration, Duration) = (Duration::from_millis(700), Duration::from_secs(3));
+/// What is not answered this long before that is answered then, since nobody answers after it.
+const LAST_CALL: Duration = Duration::from_millis(300);
+/// And the process ends so long before: answers have been read, and connections have been closed.
+const ENDED: Duration = Duration::from_millis(50);
 /// How long the first list of discovery is waited for before clients are let in with the one at hand. What
 /// discovery had told before this process began counts as told to it: a server that drains since may stand in the
 /// list at hand as in service. Nine in ten that are restarted are to be ready within 10 s.
@@ -388,7 +393,10 @@
     });
 
     terminated.recv().await;
-    log("liftrouter", format_args!("SIGTERM: finishing {} requests", inbox.open_requests()));
+    let killed =
+        Instant::now() + KILLED.0 + Duration::from_secs_f64(longest.max(0.0).min(KILLED.1.as_secs_f64()));
+    log("liftrouter", format_args!("SIGTERM: finishing {} requests", inbox.owed()));
+    gate.end_at(killed - LAST_CALL);
     clients.drain();
     if let Some((front, _)) = &grpc {
         front.drain();
@@ -396,8 +404,14 @@
     if let Some(group) = &group {
         group.leave();
     }
+    spawn_local({
+        let inbox = inbox.clone();
+        async move {
+            sleep_until(killed - LAST_CALL).await;
+            inbox.push(News::LastCall);
+        }
+    });
     tokio::time::sleep(ACCEPT_ON).await;
-    let rest = Duration::from_secs_f64(longest.clamp(0.0, 60.0)) + FINISH;
     // Connections that are left then carry no request, or one that has not come whole.
     let all_closed = async {
         clients.all_closed().await;
@@ -405,12 +419,12 @@
             front.all_closed().await;
         }
     };
-    let _ = timeout(rest, all_closed).await;
+    let _ = timeout_at(killed - ENDED, all_closed).await;
     accepting.abort();
     if let Some((_, accepting)) = &grpc {
         accepting.abort();
     }
-    match inbox.open_requests() {
+    match inbox.owed() {
         0 => Ok(()),
         left => Err(format!("{left} requests were left open")),
     }
--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -3,7 +3,7 @@
 //! Dropping a [`Link`] closes its socket at once, and nothing is ever sent twice. The socket records whether
 //! a request has been handed to the kernel whole, because that decides whether the server may have run it.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
@@ -35,10 +35,16 @@
 const ANSWER: Duration = Duration::from_millis(250);
 /// A link rests for this time before it is used again: what comes late behind an answer and belongs to none
 /// must not be read as the answer to the next request.
-const REST: Duration = Duration::from_millis(5);
+const REST: Duration = Duration::from_millis(20);
 /// How long a connection may take to settle after an answer before it is closed instead of kept.
 const SETTLE: Duration = Duration::from_millis(100);
 
+/// Bytes that are read ahead of a message's end and kept, and that may come so in all: nobody who waits for an
+/// answer writes as much behind its request.
+const AHEAD: (usize, usize) = (16 * 1024, 1024 * 1024);
+/// Reads in a row while others wait for their turn.
+const READS: usize = 8;
+
 /// How much of the latest request has been handed to the kernel.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Written {
@@ -51,11 +57,23 @@
 pub struct Socket {
     stream: TcpStream,
     written: Cell<Written>,
-    /// Something has come since the latest message was begun.
+    /// Something has come since the latest message was begun, and some of it before that was written whole.
     answering: Cell<bool>,
+    early: Cell<bool>,
     /// The first bytes that came since [`Socket::record`], so many at most.
     recorded: RefCell<Vec<u8>>,
     record_most: Cell<usize>,
+    ahead: RefCell<Ahead>,
+}
+
+/// What was read while nobody asked for it.
+#[derive(Default)]
+struct Ahead {
+    bytes: BytesMut,
+    /// All that came so since it was last taken.
+    in_all: usize,
+    /// How the stream ended behind it, if it did.
+    end: Option<io::Result<()>>,
 }
 
 impl Socket {
@@ -66,8 +84,10 @@
             stream,
             written: Cell::new(Written::Nothing),
             answering: Cell::new(false),
+            early: Cell::new(false),
             recorded: RefCell::default(),
             record_most: Cell::new(0),
+            ahead: RefCell::default(),
         })
     }
 
@@ -87,6 +107,11 @@
         self.record_most.set(most);
     }
 
+    /// Whether anything has been recorded so far.
+    pub fn has_recorded(&self) -> bool {
+        !self.recorded.borrow().is_empty()
+    }
+
     /// What was recorded; from now on nothing is.
     pub fn recorded(&self) -> Vec<u8> {
         self.record_most.set(0);
@@ -110,9 +135,46 @@
         let _ = timeout(time, discard).await;
     }
 
+    /// Ready once the peer has ended its side or reset the connection, whatever lies unread before that end:
+    /// reads on, and keeps what it finds for whoever reads next. So does one that sends without end.
+    pub fn poll_gone(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut ahead = self.ahead.borrow_mut();
+        let mut buffer = [0; 4 * 1024];
+        for _ in 0..READS {
+            if ahead.end.is_some() || ahead.in_all > AHEAD.1 {
+                return Poll::Ready(());
+            }
+            if let Err(e) = ready!(self.stream.poll_read_ready(cx)) {
+                ahead.end = Some(Err(e));
+                continue;
+            }
+            match self.stream.try_read(&mut buffer) {
+                Ok(0) => ahead.end = Some(Ok(())),
+                Ok(n) => {
+                    ahead.in_all += n;
+                    let room = AHEAD.0.saturating_sub(ahead.bytes.len());
+                    ahead.bytes.extend_from_slice(&buffer[..n.min(room)]);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => ahead.end = Some(Err(e)),
+            }
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+
+    /// Whether more came ahead than was kept: what is read from here on has a hole.
+    pub fn overrun(&self) -> bool {
+        self.ahead.borrow().in_all > AHEAD.0
+    }
+
     /// Whether the connection is open and has nothing to read. Asks the kernel, since the runtime may not
     /// have noticed yet.
     pub fn quiet(&self) -> bool {
+        let ahead = self.ahead.borrow();
+        if !ahead.bytes.is_empty() || ahead.end.is_some() {
+            return false;
+        }
         let mut byte = [MaybeUninit::uninit()];
         let peeked = SockRef::from(&self.stream).peek(&mut byte);
         matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
@@ -124,17 +186,31 @@
 
 impl AsyncRead for Tracked {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let took = |buf: &mut ReadBuf<'_>, n: usize| {
+            self.0.answering.set(true);
+            self.0.early.set(self.0.early.get() || self.0.written.get() != Written::Whole);
+            let mut recorded = self.0.recorded.borrow_mut();
+            let room = self.0.record_most.get().saturating_sub(recorded.len());
+            recorded.extend_from_slice(&buf.initialize_unfilled()[..n.min(room)]);
+            buf.advance(n);
+            Poll::Ready(Ok(()))
+        };
+        let mut ahead = self.0.ahead.borrow_mut();
+        if !ahead.bytes.is_empty() {
+            let n = ahead.bytes.len().min(buf.remaining());
+            buf.initialize_unfilled()[..n].copy_from_slice(&ahead.bytes.split_to(n));
+            if ahead.bytes.is_empty() {
+                ahead.in_all = 0;
+            }
+            return took(buf, n);
+        }
+        if let Some(end) = &ahead.end {
+            return Poll::Ready(end.as_ref().map_or_else(|e| Err(e.kind().into()), |()| Ok(())));
+        }
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
             match self.0.stream.try_read(buf.initialize_unfilled()) {
-                Ok(n) => {
-                    self.0.answering.set(true);
-                    let mut recorded = self.0.recorded.borrow_mut();
-                    let room = self.0.record_most.get().saturating_sub(recorded.len());
-                    recorded.extend_from_slice(&buf.initialize_unfilled()[..n.min(room)]);
-                    buf.advance(n);
-                    return Poll::Ready(Ok(()));
-                }
+                Ok(n) => return took(buf, n),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) => return Poll::Ready(Err(e)),
             }
@@ -247,7 +323,28 @@
     }
 
     /// Sends a request and waits for the whole answer, which may take its time to begin, but not to end.
-    pub async fn exchange(&mut self, mut request: Request<Full<Bytes>>) -> Result<Response<Bytes>, Failure> {
+    ///
+    /// A server begins a request when its last byte has come. What it says before that is no answer to it, but to
+    /// something else: a second answer to the request before, or noise.
+    pub async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, Failure> {
+        let socket = self.socket.clone();
+        if !socket.quiet() {
+            socket.written.set(Written::Nothing);
+            return Err(Failure::NotSent);
+        }
+        socket.early.set(false);
+        let result = self.answer_in_time(request).await;
+        match socket.written() {
+            Written::Whole if socket.early.get() => Err(Failure::Broken),
+            Written::Nothing | Written::Part => Err(Failure::NotSent),
+            Written::Whole => result,
+        }
+    }
+
+    async fn answer_in_time(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, Failure> {
         let socket = self.socket.clone();
         socket.answering.set(false);
         // An informational answer says that the final one is still to begin.
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -38,7 +38,7 @@
 #[test]
 fn what_stands_behind_an_answer_is_no_answer_to_the_next_request() {
     let own = |m: &Message| m.header("x-correlation-id").unwrap_or_default().to_string();
-    for pause in [None, Some(0), Some(1), Some(3)] {
+    for pause in [None, Some(0), Some(1), Some(3), Some(8), Some(12)] {
         let server = Fake::new(move |m| {
             let (good, copy) = (raw("200 OK", "", &own(m)), raw("200 OK", "", "a copy"));
             match pause {
--- /dev/null
+++ b/crates/daemon/tests/closes.rs
@@ -0,0 +1,264 @@
+//! The real binary as it ends: what it has taken is answered, what it closes it has not read, and it is done
+//! before it would be killed.
+mod common;
+
+use common::*;
+use serde_json::{json, Value};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// SIGKILL comes this long after SIGTERM, and the longest deadline later, 3 s of it at most.
+const KILLED: Duration = Duration::from_millis(700);
+
+fn with_deadline(seconds: f64, may_cancel: bool) -> Value {
+    let mut settings = settings();
+    for class in settings["classes"].as_array_mut().expect("classes") {
+        class["deadline-s"] = json!(seconds);
+    }
+    settings["limits"]["cancel"] = json!(may_cancel);
+    settings
+}
+
+/// Behind many names it takes many requests at once.
+fn over(settings: Value, server: &Fake) -> Limiter {
+    let list = (0..16).map(|n| instance(&format!("s-{n}"), server.address, "in_service")).collect();
+    Limiter::start(settings, &discovery(list), counter().address)
+}
+
+/// Waits for its end; it has to come without complaint, and before it would be killed.
+fn ends(limiter: &mut Limiter, terminated: Instant, deadline: f64) -> Duration {
+    let status = limiter.wait();
+    let (took, killed) = (terminated.elapsed(), KILLED + Duration::from_secs_f64(deadline.min(3.0)));
+    assert_eq!(status.code(), Some(0), "{}", limiter.errors());
+    assert!(took < killed, "{took:?}, killed after {killed:?}");
+    took
+}
+
+#[test]
+fn what_hangs_is_answered_before_the_end_however_long_its_deadline() {
+    for (deadline, may_cancel) in [(0.8, true), (0.8, false), (5.0, true), (5.0, false)] {
+        let server = Fake::new(|_| Reply::Silence);
+        let mut limiter = over(with_deadline(deadline, may_cancel), &server);
+        let mut clients: Vec<Client> = (0..3).map(|_| limiter.client()).collect();
+        for (client, request) in
+            clients.iter_mut().zip([quote("roomy", 60_000), post("bind", "x"), post("once", "x")])
+        {
+            client.send(&request);
+        }
+        wait_until("the requests are out", || server.count() == 3);
+        limiter.terminate();
+        let terminated = Instant::now();
+        // And one that comes with all its time after the signal.
+        let mut late = limiter.client();
+        late.send(&quote("roomy", 60_000));
+        clients.push(late);
+        for client in &mut clients {
+            let answer = client.answer().expect("an answer, not a close");
+            assert!([429, 502, 503].contains(&answer.status()), "{}", answer.first);
+        }
+        ends(&mut limiter, terminated, deadline);
+    }
+}
+
+#[test]
+fn an_attempt_that_nobody_waits_for_is_no_open_request() {
+    let server = Fake::new(|_| Reply::Silence);
+    let mut limiter = over(with_deadline(20.0, false), &server);
+    let mut client = limiter.client();
+    client.send(&quote("roomy", 60_000));
+    wait_until("the request is out", || server.count() == 1);
+    client.close();
+    limiter.terminate();
+    ends(&mut limiter, Instant::now(), 20.0);
+}
+
+#[test]
+fn clients_that_send_for_as_long_as_they_can_lose_no_request() {
+    let server = Fake::new(|m| {
+        thread::sleep(Duration::from_millis(if m.first.contains("/bind/") { 250 } else { 1 }));
+        ok("served")
+    });
+    let mut limiter = over(with_deadline(1.5, true), &server);
+    let clients: Vec<_> = (0..12)
+        .map(|n| {
+            let mut client = limiter.client();
+            assert_eq!(client.ask(&quote("roomy", 9000)).status(), 200);
+            let server = server.clone();
+            thread::spawn(move || {
+                for turn in n.. {
+                    let request = if turn % 3 == 0 { post("bind", "x") } else { quote("roomy", 9000) };
+                    client.send_quietly(request.as_bytes());
+                    match client.answer() {
+                        Some(answer) => {
+                            assert!([200, 429, 503].contains(&answer.status()), "{}", answer.first)
+                        }
+                        // Closed between requests: this one was never read.
+                        None => return assert_eq!(server.copies(id_of(&request)), 0, "read and dropped"),
+                    }
+                }
+            })
+        })
+        .collect();
+    wait_until("they are served", || server.count() > 40);
+    limiter.terminate();
+    let terminated = Instant::now();
+    clients.into_iter().for_each(|client| client.join().expect("a client"));
+    ends(&mut limiter, terminated, 1.5);
+}
+
+/// A request and the signal come in one moment, in either order; and with the request only a part of it.
+#[test]
+fn a_request_that_crosses_the_signal_is_answered_or_was_never_read() {
+    for signal_first in [true, false] {
+        for whole in [true, false] {
+            let server = Fake::new(|_| ok("served"));
+            let mut limiter = over(with_deadline(2.0, true), &server);
+            let mut clients: Vec<Client> = (0..30).map(|_| limiter.client()).collect();
+            // Two in three are known and at rest, one in three never asked.
+            for client in clients.iter_mut().enumerate().filter(|(n, _)| n % 3 > 0).map(|(_, c)| c) {
+                assert_eq!(client.ask(&quote("roomy", 9000)).status(), 200);
+            }
+            thread::sleep(Duration::from_millis(150));
+            limiter.pause();
+            if signal_first {
+                limiter.terminate();
+            }
+            let requests: Vec<String> = clients.iter().map(|_| post("once", "whole")).collect();
+            for (client, request) in clients.iter_mut().zip(&requests) {
+                client.send(&request[..request.len() - if whole { 0 } else { 60 }]);
+            }
+            if !signal_first {
+                limiter.terminate();
+            }
+            let terminated = Instant::now();
+            limiter.go_on();
+            let mut answered = 0;
+            for (client, request) in clients.iter_mut().zip(&requests) {
+                if !whole {
+                    client.send_quietly(&request.as_bytes()[request.len() - 60..]);
+                }
+                let copies = |n| assert_eq!(server.copies(id_of(request)), n, "signal first: {signal_first}");
+                match client.answer() {
+                    Some(answer) => {
+                        assert!([200, 429].contains(&answer.status()), "{}", answer.first);
+                        assert_eq!(answer.header("connection"), Some("close"));
+                        copies(usize::from(answer.status() == 200));
+                        answered += 1;
+                    }
+                    None => copies(0),
+                }
+            }
+            assert!(answered > 0, "none crossed");
+            ends(&mut limiter, terminated, 2.0);
+        }
+    }
+}
+
+#[test]
+fn half_a_request_has_time_to_come_whole() {
+    let server = Fake::new(|_| ok("served"));
+    let mut limiter = over(with_deadline(3.0, true), &server);
+    let request = post("bind", "a body");
+    // In the head, and in the body; on a connection that is known, and on a new one.
+    let cases: Vec<_> = [request.len() - 40, request.len() - 3]
+        .into_iter()
+        .flat_map(|cut| [(cut, true), (cut, false)])
+        .map(|(cut, known)| {
+            let (mut client, request) = (limiter.client(), post("bind", "a body"));
+            if known {
+                assert_eq!(client.ask(&quote("roomy", 9000)).status(), 200);
+            }
+            client.send(&request[..cut]);
+            (client, request[cut..].to_string(), known)
+        })
+        .collect();
+    // Read, as far as it came: else it would lie unread, and keep its connection open by that.
+    thread::sleep(Duration::from_millis(200));
+    limiter.terminate();
+    let terminated = Instant::now();
+    // Past the time for which new connections come.
+    thread::sleep(Duration::from_millis(900));
+    for (mut client, rest, known) in cases {
+        client.send_quietly(rest.as_bytes());
+        let answer = client.answer();
+        assert_eq!(answer.map(|a| a.status()), Some(200), "{} bytes later, known: {known}", rest.len());
+    }
+    ends(&mut limiter, terminated, 3.0);
+}
+
+#[test]
+fn connections_that_rest_hold_up_no_end() {
+    let server = Fake::new(|_| ok("served"));
+    let mut limiter = over(with_deadline(3.0, true), &server);
+    let mut clients: Vec<Client> = (0..9).map(|_| limiter.client()).collect();
+    for client in clients.iter_mut().step_by(2) {
+        assert_eq!(client.ask(&quote("roomy", 9000)).status(), 200);
+    }
+    limiter.terminate();
+    let took = ends(&mut limiter, Instant::now(), 3.0);
+    assert!(took < Duration::from_secs(2), "{took:?}");
+    for client in &mut clients {
+        assert!(client.answer().is_none());
+    }
+}
+
+#[test]
+fn more_signals_change_nothing() {
+    let gate = Gate::default();
+    let opened = gate.clone();
+    let server = Fake::new(move |_| {
+        opened.pass();
+        ok("served")
+    });
+    let mut limiter = over(with_deadline(3.0, true), &server);
+    let mut client = limiter.client();
+    client.send(&post("once", "x"));
+    wait_until("the request is out", || server.count() == 1);
+    limiter.terminate();
+    let terminated = Instant::now();
+    for signal in ["-TERM", "-HUP", "-TERM"] {
+        limiter.signal(signal);
+    }
+    gate.open();
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    ends(&mut limiter, terminated, 3.0);
+}
+
+#[test]
+fn a_signal_before_it_is_ready_ends_it() {
+    let silent = Fake::new(|_| Reply::Silence);
+    let known = update(9, true, &[]);
+    let mut limiter = Limiter::with_known(&known, with_deadline(3.0, true), silent.address);
+    limiter.terminate();
+    let terminated = Instant::now();
+    assert_eq!(limiter.client().ask(&quote("roomy", 9000)).status(), 429);
+    assert!(!limiter.up());
+    ends(&mut limiter, terminated, 3.0);
+}
+
+/// Its answer says that the connection closes; a close over what its client still sends would destroy it.
+#[test]
+fn a_last_answer_reaches_a_client_that_still_sends() {
+    let gate = Gate::default();
+    let opened = gate.clone();
+    let server = Fake::new(move |_| {
+        opened.pass();
+        ok("served")
+    });
+    let mut limiter = over(with_deadline(3.0, true), &server);
+    let mut client = limiter.client();
+    client.send(&post("once", "x"));
+    wait_until("the request is out", || server.count() == 1);
+    limiter.terminate();
+    let terminated = Instant::now();
+    // Past the time for which new connections come: from here on what rests is closed.
+    thread::sleep(Duration::from_millis(700));
+    gate.open();
+    // For longer than a connection takes to come to rest, and less than it is read on.
+    for _ in 0..15 {
+        client.send("what is behind it goes on coming");
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(client.answer().expect("its answer, not a reset").status(), 200);
+    ends(&mut limiter, terminated, 3.0);
+}
--- /dev/null
+++ b/crates/daemon/tests/descriptors.rs
@@ -0,0 +1,153 @@
+//! The real binary when its descriptors are wanted by more than there are: the limit holds, and whoever asks gets
+//! an answer.
+mod common;
+
+use common::*;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const SOCKETS: u32 = 128;
+
+fn over(server: &Fake, count: std::net::SocketAddr) -> (Fake, Limiter) {
+    // Behind many names it takes many requests at once.
+    let list = (0..16).map(|n| instance(&format!("s-{n}"), server.address, "in_service")).collect();
+    let discovery = discovery(list);
+    let limiter = Limiter::with_sockets(SOCKETS, settings(), &discovery, count);
+    (discovery, limiter)
+}
+
+/// The most descriptors that are seen open in a time.
+fn most_open(limiter: &Limiter, time: Duration) -> usize {
+    let (mut most, end) = (0, Instant::now() + time);
+    while Instant::now() < end {
+        most = most.max(limiter.descriptors());
+    }
+    most
+}
+
+#[test]
+fn many_that_come_in_one_moment_open_no_more_than_the_limit() {
+    let server = Fake::new(|_| ok("served"));
+    let discovery = discovery(vec![instance("s-0", server.address, "in_service")]);
+    let limiter = Limiter::with_sockets(72, settings(), &discovery, counter().address);
+    limiter.pause();
+    // No more than the kernel keeps waiting.
+    let mut clients: Vec<Client> = (0..110).map(|_| limiter.client()).collect();
+    limiter.go_on();
+    let most = most_open(&limiter, Duration::from_millis(400));
+    assert!(most <= 72, "{most} open");
+    // The last of them has its turn.
+    let last = clients.last_mut().expect("one");
+    assert_eq!(last.ask(&quote("roomy", 9000)).status(), 200);
+}
+
+#[test]
+fn idle_clients_leave_discovery_counter_and_servers_theirs_while_discovery_is_down() {
+    let (first, second) = (Fake::new(|_| ok("first")), Fake::new(|_| ok("second")));
+    let list = |generation, a: &str, b: &str| {
+        update(generation, true, &[instance("s-0", first.address, a), instance("s-1", second.address, b)])
+    };
+    let (before, after) = (list(10, "in_service", "terminating"), list(11, "terminating", "in_service"));
+    let (next, down) = (AtomicUsize::new(0), Arc::new(AtomicBool::new(true)));
+    let is_down = down.clone();
+    let discovery = Fake::new(move |_| match next.fetch_add(1, Ordering::SeqCst) {
+        0 => Reply::Raw(format!("{WATCH_HEAD}{}", chunk(&before))),
+        _ if is_down.load(Ordering::SeqCst) => Reply::Silence,
+        _ => Reply::Raw(format!("{WATCH_HEAD}{}", chunk(&after))),
+    });
+    let count = counter();
+    let limiter = Limiter::with_sockets(SOCKETS, settings(), &discovery, count.address);
+    wait_until("discovery is down", || discovery.count() > 3);
+    // They fill all places and come again when they are let go.
+    let done = Arc::new(AtomicBool::new(false));
+    let idle: Vec<_> = (0..4)
+        .map(|_| {
+            let (address, done) = (limiter.address, done.clone());
+            thread::spawn(move || {
+                let mut held = std::collections::VecDeque::new();
+                while !done.load(Ordering::SeqCst) {
+                    held.extend(
+                        std::net::TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok(),
+                    );
+                    if held.len() > 60 {
+                        held.pop_front();
+                    }
+                    thread::sleep(Duration::from_millis(1));
+                }
+            })
+        })
+        .collect();
+    wait_until("the places are taken", || limiter.descriptors() > 40);
+    let (calls, mut served) = (count.count(), 0);
+    wait_until("clients that ask are served, and counted", || {
+        served += usize::from(limiter.client().ask(&quote("roomy", 9000)).status() == 200);
+        served > 20 && count.count() > calls
+    });
+    let most = most_open(&limiter, Duration::from_millis(300));
+    assert!(most <= SOCKETS as usize, "{most} open");
+    down.store(false, Ordering::SeqCst);
+    let began = Instant::now();
+    wait_until("the news hold", || limiter.client().ask(&quote("roomy", 9000)).text() == "second");
+    assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+    done.store(true, Ordering::SeqCst);
+    idle.into_iter().for_each(|client| client.join().expect("an idle one"));
+}
+
+#[test]
+fn a_flood_that_sends_much_and_leaves_costs_nobody_an_answer() {
+    let server = Fake::new(|_| ok("served"));
+    let (_discovery, limiter) = over(&server, counter().address);
+    let (done, floods) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let junk = [
+        "x".repeat(100_000),
+        post("once", "x") + &"y".repeat(100_000),
+        "GET / HTTP/1.1\r\n\r\n".repeat(2_000),
+    ];
+    let flood: Vec<_> = junk
+        .into_iter()
+        .map(|junk| {
+            let (address, done, floods) = (limiter.address, done.clone(), floods.clone());
+            thread::spawn(move || {
+                while !done.load(Ordering::SeqCst) {
+                    if let Ok(mut stream) = std::net::TcpStream::connect(address) {
+                        let _ = std::io::Write::write_all(&mut stream, junk.as_bytes());
+                        floods.fetch_add(1, Ordering::SeqCst);
+                    }
+                }
+            })
+        })
+        .collect();
+    let usual: Vec<_> = (0..6)
+        .map(|_| {
+            let (address, done) = (limiter.address, done.clone());
+            let mut client = limiter.client();
+            thread::spawn(move || {
+                let mut answered = 0;
+                while !done.load(Ordering::SeqCst) {
+                    let request = quote("roomy", 9000);
+                    client.send_quietly(request.as_bytes());
+                    match client.answer() {
+                        Some(answer) => {
+                            assert!([200, 429].contains(&answer.status()), "{}", answer.first);
+                            answered += 1;
+                        }
+                        // Closed between two requests: it asks once more on a new connection.
+                        None => client = Client::to(address),
+                    }
+                    thread::sleep(Duration::from_millis(5));
+                }
+                answered
+            })
+        })
+        .collect();
+    wait_until("much has come", || floods.load(Ordering::SeqCst) > 300);
+    let most = most_open(&limiter, Duration::from_millis(300));
+    done.store(true, Ordering::SeqCst);
+    flood.into_iter().for_each(|flood| flood.join().expect("a flood"));
+    for client in usual {
+        assert!(client.join().expect("a client") > 5, "it was hardly answered");
+    }
+    assert!(most <= SOCKETS as usize, "{most} open");
+}
