--- a/crates/decision/src/policy/life.rs
+++ b/crates/decision/src/policy/life.rs
@@ -63,7 +63,7 @@
     fn may_have_run(&self) -> bool {
         self.attempts.iter().any(|a| a.may_have_run)
     }
-    /// Until when a further attempt may be written: a keyed one while the first that may have run is remembered.
+    /// Until when a further attempt may be written: a keyed one while the first one's key is remembered.
     fn begin_by(&self, set: &Settings) -> f64 {
         let class = &set.classes[self.class];
         let first = self.attempts.iter().find(|a| a.may_have_run && class.effect == Effect::Keyed);
--- a/crates/decision/src/policy/quota.rs
+++ b/crates/decision/src/policy/quota.rs
@@ -25,9 +25,11 @@
 const CALLS_STEP: (f64, f64, f64) = (0.02, 0.85, 0.2);
 /// Seconds unseen after which a customer whose bucket is full may be forgotten, and between looks for them.
 pub const AGE_OUT: f64 = 60.0;
-/// Share of the plan's burst that the joint store is steered to, and the seconds in which it gets there,
-/// where a limiter's own share of it is less than a unit.
-const STEER: (f64, f64) = (0.5, 2.0);
+/// Seconds in which the joint store is steered to the plan's burst, where a limiter's own share of it is
+/// less than a unit: a full store bears what goes out before anybody has news of it.
+const STEER: f64 = 1.0;
+/// Readings of a plan's customers that its mean part is averaged over.
+const READINGS: f64 = 30.0;
 /// Steps of a counter total below PACK are units used, those above units refused (seven digits are exact).
 const PACK: f64 = 2_000.0;
 const PACK_REFUSED: f64 = 4_999.0;
@@ -105,7 +107,7 @@
     /// and what the joint store has over or under what it is steered to. That is the design's limit, on the
     /// mean. A bucket of one request loses what it can't hold, and passes on what others have used up.
     fn part(&self, plan: &Plan, share: f64, t: Totals) -> f64 {
-        (plan.rate * share + (self.store - STEER.0 * plan.depth) / STEER.1) * t.read / t.all.max(1e-6)
+        (plan.rate * share + (self.store - plan.depth) / STEER) * t.read / t.all.max(1e-6)
     }
 
     /// Takes in what all drew since the reading before, or since the name began, which may be later: evenly,
@@ -149,6 +151,8 @@
     counter_try: f64,
     /// Share of the tries that call the counter.
     call_share: f64,
+    /// Per plan: the mean part of the customers read here, and how many were, for those not read yet.
+    parts: Vec<(f64, f64)>,
 }
 
 impl Quota {
@@ -161,6 +165,7 @@
             counter_misses: 0,
             counter_try: now,
             call_share: CALLS.0,
+            parts: Vec::new(),
         }
     }
 
@@ -303,14 +308,19 @@
         let gain = |span: f64| 1.0 - (-span / memory).exp();
         let mean = |old, steps, span| fresh(old, steps * grain / span, gain(span));
         let t = c.totals.unwrap_or_default();
-        c.totals = Some(Totals {
+        let t = Totals {
             own: mean(t.own, own_used + own_refused, own_span),
             all: mean(t.all, used + refused, span),
             used: mean(t.used, used, span),
             at: now,
             memory,
             read: fresh(t.read, 1.0, gain(span)),
-        });
+        };
+        c.totals = Some(t);
+        self.parts.resize(set.plans.len(), (1.0, 0.0));
+        let (mean, n) = &mut self.parts[c.plan];
+        *n = (*n + 1.0).min(READINGS);
+        *mean = fresh(*mean, c.part(plan, self.view, t).clamp(0.0, 1.0), 1.0 / *n);
     }
 
     /// Forgets customers long unseen whose bucket and ceiling would be full: sooner, each got them full anew.
@@ -336,9 +346,15 @@
         let plan = &set.plans[c.plan];
         let known = c.believed(share, now);
         let (limit, loan) = c.refill(plan, units, share, known, now);
+        // One request from each limiter is several bursts of a thin plan. Nothing is known of this customer,
+        // so it has the chance that those of its plan have; its refusal asks the counter for its totals.
+        let unread = share > 0.0 && c.totals.is_none() && plan.rate > 0.0 && c.thin(plan);
+        if unread && self.parts.get(c.plan).is_some_and(|(mean, _)| rng.f64() >= *mean) {
+            return Err(PERIOD);
+        }
         if let Some(t) = known.filter(|_| plan.rate > 0.0 && c.thin(plan)) {
             if rng.f64() >= c.part(plan, share, t) {
-                let missing = units + STEER.0 * plan.depth - c.store;
+                let missing = units + plan.depth - c.store;
                 return Err((missing / (plan.rate * share)).max(PERIOD));
             }
             // The joint store covers it: the bucket, which serves while totals are missing, owes nothing.
--- a/crates/decision/tests/quota.rs
+++ b/crates/decision/tests/quota.rs
@@ -442,3 +442,46 @@
     let passed = (0..40).filter(|_| h.served("c", "plain", 1.0)).count();
     assert_eq!(passed, 0);
 }
+
+/// Reads so many customers of a plan, each of which all limiters ask for so many units a second, and draw in full.
+fn read_customers(h: &mut Host, plan: &str, count: u32, demand: f64) {
+    h.now += 4.0;
+    for n in 0..count {
+        let customer = format!("{plan}-{n}");
+        while h.calls.is_empty() {
+            h.served(&customer, plan, 1.0);
+            h.now += 0.01;
+        }
+        h.count(|add| (Outcome::Ok, (4.0 * demand).round() + add));
+    }
+}
+
+#[test]
+fn the_first_request_of_a_customer_has_the_chance_of_its_plan() {
+    let first =
+        |h: &mut Host, plan: &str| (0..200).filter(|n| h.served(&format!("new-{n}"), plan, 1.0)).count();
+    // Nobody has been read: all go through, as they would from a fallback.
+    assert_eq!(first(&mut one_of_many(), "plain"), 200);
+    // Of those with room nobody is held back.
+    let mut h = one_of_many();
+    read_customers(&mut h, "plain", 30, 2.0);
+    assert_eq!(first(&mut h, "plain"), 200);
+    // Where they ask for thrice their quota, one request from each limiter would be several bursts. Another plan's
+    // customers have their own chance.
+    let mut h = one_of_many();
+    read_customers(&mut h, "plain", 30, 30.0);
+    let passed = first(&mut h, "plain");
+    assert!((10..120).contains(&passed), "{passed} of 200");
+    let elsewhere = (0..50).filter(|n| h.served(&format!("else-{n}"), "capped", 1.0)).count();
+    assert_eq!(elsewhere, 50);
+    // While the counter is down there is nothing to wait for: the fallback holds.
+    for _ in 0..3 {
+        while h.calls.is_empty() {
+            h.now += 0.6;
+            h.served("down", "plain", 0.1);
+        }
+        h.count(|_| (Outcome::Timeout, 0.0));
+    }
+    let passed = (0..200).filter(|n| h.served(&format!("down-{n}"), "plain", 1.0)).count();
+    assert_eq!(passed, 200, "while the counter is down");
+}
