--- a/crates/daemon/tests/closes.rs
+++ b/crates/daemon/tests/closes.rs
@@ -36,7 +36,7 @@
 
 #[test]
 fn what_hangs_is_answered_before_the_end_however_long_its_deadline() {
-    for (deadline, may_cancel) in [(0.8, true), (0.8, false), (5.0, true), (5.0, false)] {
+    at_once([(0.8, true), (0.8, false), (5.0, true), (5.0, false)], |(deadline, may_cancel)| {
         let server = Fake::new(|_| Reply::Silence);
         let mut limiter = over(with_deadline(deadline, may_cancel), &server);
         let mut clients: Vec<Client> = (0..3).map(|_| limiter.client()).collect();
@@ -57,7 +57,7 @@
             assert!([429, 502, 503].contains(&answer.status()), "{}", answer.first);
         }
         ends(&mut limiter, terminated, deadline);
-    }
+    });
 }
 
 #[test]
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -271,6 +271,16 @@
     (socket, address, filled)
 }
 
+/// Plays all cases at once; each has a limiter of its own.
+pub fn at_once<C: Send>(cases: impl IntoIterator<Item = C>, play: impl Fn(C) + Sync) {
+    thread::scope(|scope| {
+        for case in cases {
+            let play = &play;
+            scope.spawn(move || play(case));
+        }
+    });
+}
+
 /// Something that a test opens once.
 #[derive(Clone, Default)]
 pub struct Gate(Arc<AtomicBool>);
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -30,7 +30,7 @@
 
 #[test]
 fn what_is_still_connecting_is_dropped_whether_attempts_may_be_called_off_or_not() {
-    for may_cancel in [true, false] {
+    at_once([true, false], |may_cancel| {
         let (listener, address, filled) = never_up();
         let mut settings = patient(may_cancel);
         settings["limits"]["connect-timeout-s"] = json!(10.0);
@@ -57,7 +57,7 @@
             stream.set_read_timeout(Some(Duration::from_millis(100))).expect("set");
             assert!(!matches!(stream.read(&mut [0]), Ok(1..)), "written for a client that left");
         }
-    }
+    });
 }
 
 /// How a client goes.
@@ -73,7 +73,7 @@
 fn an_end_behind_unread_bytes_is_seen() {
     let behind =
         ["", "\r\n", "half a line", &quote("roomy", 9000), &"x".repeat(10_000), &"x".repeat(300_000)];
-    for end in [End::Close, End::Reset, End::HalfClose] {
+    at_once([End::Close, End::Reset, End::HalfClose], |end| {
         for behind in behind {
             let server = Fake::new(|_| Reply::Silence);
             let limiter = over(patient(true), server.address);
@@ -95,7 +95,7 @@
             assert!(took < Duration::from_secs(3), "{end:?} behind {} bytes: {took:?}", behind.len());
             assert_eq!(server.count(), 1, "nothing more goes out for it");
         }
-    }
+    });
 }
 
 #[test]
--- a/crates/decision/src/policy/fleet.rs
+++ b/crates/decision/src/policy/fleet.rs
@@ -122,8 +122,9 @@
     open: f64,
     /// Share of the tries that find the fleet's window full.
     press: f64,
-    /// See [`few`].
+    /// See [`few`], and when this limiter started.
     few: f64,
+    born: f64,
     /// Good answers of warm servers in the last overload window, and the weight of those in use.
     served: VecDeque<f64>,
     warm: f64,
@@ -169,10 +170,10 @@
 }
 
 impl Fleet {
-    pub fn new(peers: u32) -> Self {
+    pub fn new(peers: u32, born: f64) -> Self {
         // One that gets few answers would take seconds to learn that they do not wait: it begins so.
         let lag = if few(peers) > 0.0 { OPEN_LAG } else { WINDOW_LAG.1 };
-        Fleet { lag: lag * REST.0, rest: REST.0, open: 1.0, ..Fleet::default() }
+        Fleet { lag: lag * REST.0, rest: REST.0, open: 1.0, born, ..Fleet::default() }
     }
 
     /// Takes in the list of servers, whole or changes alone.
@@ -317,8 +318,8 @@
     /// Whether a cold server may get one more send from here within the rule's window: what warm ones take,
     /// by its warmth. A part of one send goes out in that part of the windows, each limiter in its own turn,
     /// and the windows of each limiter begin at another moment: over all of them no moment is better than
-    /// others, so any stretch of a window's length gets what one window may. That holds once the first window
-    /// of each has begun; before, and after a restart that forgot what was sent, the budget grows from none.
+    /// others, so any stretch of a window's length gets what one window may, once the first one has begun.
+    /// After a restart that forgot what was sent, the budget of whole sends grows from none.
     fn cold_room(&self, View { set, now }: View, id: &ServerId, s: &Server) -> bool {
         let warmth = s.warmth(set, now);
         if warmth >= 1.0 {
@@ -329,7 +330,7 @@
         let most = (like_warm * set.fall_multiple * COLD_SHARE).max(COLD_LEAST / self.cover);
         let span = set.overload_for.max(set.tick);
         let recent = s.sent.iter().filter(|t| now - **t <= span).count() as f64;
-        if recent + 1.0 <= most * ((now - s.seen) / span).min(1.0) {
+        if recent + 1.0 <= most * ((now - self.born) / span).min(1.0) {
             return true;
         }
         let own = hash(id) ^ u64::from(set.me) << 32;
--- a/crates/decision/src/policy/life.rs
+++ b/crates/decision/src/policy/life.rs
@@ -88,7 +88,7 @@
     pub fn new(set: &Settings, seed: u64, now: f64) -> Self {
         Life {
             quota: Quota::new(now),
-            fleet: Fleet::new(set.peers),
+            fleet: Fleet::new(set.peers, now),
             rng: fastrand::Rng::with_seed(seed),
             means: set.classes.iter().map(|c| c.aim * FIRST_MEAN).collect(),
             retry_saved: RETRY.1,
