--- a/crates/daemon/src/fronts/http.rs
+++ b/crates/daemon/src/fronts/http.rs
@@ -175,10 +175,8 @@
     /// a last answer the time to be read.
     pub async fn all_closed(&self) {
         while !self.connections.borrow().is_empty() {
-            let connections = self.connections.borrow();
             let rests = |c: &&Rc<Connection>| c.at_rest() && !c.has_begun() && !c.lingering.get();
-            connections.values().filter(rests).for_each(|c| c.close.notify_one());
-            drop(connections);
+            self.connections.borrow().values().filter(rests).for_each(|c| c.close.notify_one());
             let _ = timeout(ACCEPT_PAUSE, self.closed.notified()).await;
         }
     }
