Tests of narrow moments: one held server, one pair of swapped lists

Cause: reading the change once more, the same gate before a server stood five times in closes.rs and leaving.rs, and the same two lists three times in discovery.rs.

--- a/crates/daemon/tests/closes.rs
+++ b/crates/daemon/tests/closes.rs
@@ -204,12 +204,7 @@
 
 #[test]
 fn more_signals_change_nothing() {
-    let gate = Gate::default();
-    let opened = gate.clone();
-    let server = Fake::new(move |_| {
-        opened.pass();
-        ok("served")
-    });
+    let (gate, server) = held(|_| ok("served"));
     let mut limiter = over(with_deadline(3.0, true), &server);
     let mut client = limiter.client();
     client.send(&post("once", "x"));
@@ -239,12 +234,7 @@
 /// Its answer says that the connection closes; a close over what its client still sends would destroy it.
 #[test]
 fn a_last_answer_reaches_a_client_that_still_sends() {
-    let gate = Gate::default();
-    let opened = gate.clone();
-    let server = Fake::new(move |_| {
-        opened.pass();
-        ok("served")
-    });
+    let (gate, server) = held(|_| ok("served"));
     let mut limiter = over(with_deadline(3.0, true), &server);
     let mut client = limiter.client();
     client.send(&post("once", "x"));
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -299,6 +299,17 @@
     }
 }
 
+/// A server that holds each request until the gate is open, and then answers by the rule.
+pub fn held(rule: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> (Gate, Fake) {
+    let gate = Gate::default();
+    let opened = gate.clone();
+    let server = Fake::new(move |m| {
+        opened.pass();
+        rule(m)
+    });
+    (gate, server)
+}
+
 /// The real binary.
 pub struct Limiter {
     pub address: SocketAddr,
--- a/crates/daemon/tests/discovery.rs
+++ b/crates/daemon/tests/discovery.rs
@@ -23,6 +23,13 @@
     (Fake::new(|_| ok("first")), Fake::new(|_| ok("second")))
 }
 
+/// Two lists: at first one of two servers serves, and then the other, which answers `second`.
+fn swapped() -> (String, String) {
+    let (first, second) = two_servers();
+    let before = list(10, &[(&first, "in_service"), (&second, "terminating")]);
+    (before, list(11, &[(&first, "terminating"), (&second, "in_service")]))
+}
+
 /// A discovery whose watches each get what the rule makes of their number, from 0.
 fn watches(rule: impl Fn(usize) -> Reply + Send + Sync + 'static) -> Fake {
     let next = AtomicUsize::new(0);
@@ -120,9 +127,7 @@
 fn a_silent_watch_is_replaced_in_time_whatever_becomes_of_the_openings() {
     let rows = ROWS.map(|(fault, times)| {
         thread::spawn(move || {
-            let (first, second) = two_servers();
-            let before = list(10, &[(&first, "in_service"), (&second, "terminating")]);
-            let after = list(11, &[(&first, "terminating"), (&second, "in_service")]);
+            let (before, after) = swapped();
             let discovery = watches(move |n| match n {
                 0 => whole(&before),
                 n if n <= times => fault.reply(),
@@ -142,9 +147,7 @@
 fn a_moved_discovery_is_heard_in_time_whatever_becomes_of_the_openings() {
     let rows = ROWS.map(|(fault, times)| {
         thread::spawn(move || {
-            let (first, second) = two_servers();
-            let before = list(10, &[(&first, "in_service"), (&second, "terminating")]);
-            let after = list(11, &[(&first, "terminating"), (&second, "in_service")]);
+            let (before, after) = swapped();
             let (old, count) = (watches(move |_| whole(&before)), counter());
             let new = watches(move |n| if n < times { fault.reply() } else { whole(&after) });
             let limiter = Limiter::start(settings(), &old, count.address);
@@ -159,9 +162,7 @@
 
 #[test]
 fn a_discovery_that_refuses_connections_is_heard_soon_after_its_return() {
-    let (first, second) = two_servers();
-    let before = list(10, &[(&first, "in_service"), (&second, "terminating")]);
-    let after = list(11, &[(&first, "terminating"), (&second, "in_service")]);
+    let (before, after) = swapped();
     let (old, count) = (watches(move |_| whole(&before)), counter());
     let limiter = Limiter::start(settings(), &old, count.address);
     let (socket, address) = nobody();
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -101,12 +101,7 @@
 #[test]
 fn a_client_that_waits_with_bytes_behind_its_request_is_answered() {
     for behind in ["\r\n".to_string(), "half a line".into(), "x".repeat(10_000), "x".repeat(300_000)] {
-        let gate = Gate::default();
-        let opened = gate.clone();
-        let server = Fake::new(move |_| {
-            opened.pass();
-            ok("served")
-        });
+        let (gate, server) = held(|_| ok("served"));
         let limiter = over(patient(true), server.address);
         let mut client = limiter.client();
         client.send(&quote("roomy", 60_000));
@@ -120,12 +115,7 @@
 
 #[test]
 fn a_request_behind_another_is_answered_after_it() {
-    let gate = Gate::default();
-    let opened = gate.clone();
-    let server = Fake::new(move |m| {
-        opened.pass();
-        ok(m.header("x-correlation-id").unwrap_or_default())
-    });
+    let (gate, server) = held(|m| ok(m.header("x-correlation-id").unwrap_or_default()));
     let limiter = over(patient(true), server.address);
     let (mut client, first, second) = (limiter.client(), post("bind", "x"), post("bind", "yy"));
     client.send(&first);
@@ -140,12 +130,7 @@
 #[test]
 fn what_fails_after_its_client_left_is_not_sent_again() {
     for behind in ["", "half a line"] {
-        let gate = Gate::default();
-        let opened = gate.clone();
-        let server = Fake::new(move |_| {
-            opened.pass();
-            Reply::Last(String::new())
-        });
+        let (gate, server) = held(|_| Reply::Last(String::new()));
         // The attempt stays out, so its failure comes to a request that nobody waits for.
         let limiter = over(patient(false), server.address);
         let mut client = limiter.client();
