Discovery that is asked: one call at a time with backoff and a budget; lists that expire

We gave each call up after 0.8 s (OPENING in discovery.rs) and began another every 0.2 s (EVERY), ten at a time, though the service works on for callers that have gone: a retry storm of our own, by which lists stayed unknown past the 6 s after which changes count as told. Nothing said that a list had become too old to send by.

Change: crates/discovery, pure, decides when to call and until when a list may be used. Pushed lists keep their overlapping openings. On request: one call at a time, up to 2.5 s each; a second one only in the last 2.5 s before the list expires; exponential backoff with jitter, Retry-After, a budget of 4 calls and 0.8 a second. A list expires 6 s after its last sign of life, 4 s after a move; then every server counts as draining until the list is confirmed, refusals and log say why. A list older than the one at hand is not taken. A new process no longer goes by the list in its configuration there. discovery.rs is cut into update, catalog, watch and the loop; errors are a type.

Ruled out: late first messages (an unchanged list is answered at once, with no servers); the plain whole list as the cheaper call (it costs the same fixed part and all lines).

The daemon's tests of discovery, inventory and program pass; the others were not run for this commit.

--- a/crates/daemon/src/fronts/gate.rs
+++ b/crates/daemon/src/fronts/gate.rs
@@ -3,7 +3,7 @@
 //! It holds what all fronts share: the ids that are open, the bytes that requests take, how many are in work.
 
 use crate::count::Count;
-use crate::inbox::{Answer, Arrival, Call, Gone, Inbox};
+use crate::inbox::{Answer, Arrival, Call, Gone, Inbox, Refusal};
 use crate::peers::authoriser::{Authorisers, Finding, WhenUnsure};
 use crate::peers::servers::OWN;
 use hyper::header::HeaderValue;
@@ -106,10 +106,12 @@
                 Finding::Said(Verdict::Deny(denial)) => return (Answer::Denied(denial), changes),
                 Finding::Unsure(WhenUnsure::Pass, _) => {}
                 // Nothing has run: trying again is harmless.
-                Finding::Unsure(WhenUnsure::Refuse, wait) => return (Answer::Refused(wait), changes),
+                Finding::Unsure(WhenUnsure::Refuse, wait) => {
+                    return (Answer::Refused(Refusal::limit(wait)), changes)
+                }
             }
             if Instant::now() >= question.due {
-                return (Answer::Refused(0.0), changes);
+                return (Answer::Refused(Refusal::limit(0.0)), changes);
             }
             if let Call::Forward(forward) = &mut arrival.call {
                 // Nobody else has it yet.
--- a/crates/daemon/src/fronts/grpc/call.rs
+++ b/crates/daemon/src/fronts/grpc/call.rs
@@ -220,7 +220,7 @@
     match timeout_at(due, grpc.gate.ask(arrival, &put)).await {
         Ok((Answer::Permitted(gone), changes)) => Ok((permitted(&changes, &OWN, asked.add), Some(gone))),
         Ok((Answer::Denied(denial), _)) => Ok((denied(denial), None)),
-        Ok((Answer::Refused(stay_away), _)) => Ok((refused(stay_away), None)),
+        Ok((Answer::Refused(refusal), _)) => Ok((refused(refusal.retry_after), None)),
         // A permission is never served; the module fails none either.
         Ok((Answer::Failed | Answer::Served(_), _)) => Err(Status::new(Code::Unavailable, "no decision")),
         Err(_) => Err(too_late()),
--- a/crates/daemon/src/fronts/http.rs
+++ b/crates/daemon/src/fronts/http.rs
@@ -374,10 +374,10 @@
                 changes.apply_to_answer(reply.headers_mut(), &[RETRY_AFTER]);
                 reply
             }
-            Answer::Refused(stay_away) => {
-                let mut reply = plain(StatusCode::TOO_MANY_REQUESTS, "refused: trying again is harmless\n");
-                if stay_away > 0.0 {
-                    if let Ok(advice) = HeaderValue::try_from(format!("{stay_away:.3}")) {
+            Answer::Refused(refusal) => {
+                let mut reply = plain(StatusCode::TOO_MANY_REQUESTS, refusal.text());
+                if refusal.retry_after > 0.0 {
+                    if let Ok(advice) = HeaderValue::try_from(format!("{:.3}", refusal.retry_after)) {
                         reply.headers_mut().insert(RETRY_AFTER, advice);
                     }
                 }
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -6,7 +6,9 @@
 
 mod clock;
 
-use crate::inbox::{Answer, Arrival, Call, Ended, Forward, Gone, Inbox, Listed, News, Reply};
+use crate::inbox::{
+    Answer, Arrival, Call, Ended, Forward, Gone, Inbox, Listed, News, Refusal, RefusalCause, Reply,
+};
 use crate::log;
 use crate::peers::keepers::Keepers;
 use crate::peers::servers::{Attempt, Limits, Place, Servers};
@@ -56,6 +58,8 @@
     requests: HashMap<RequestId, Open>,
     timers: BinaryHeap<Reverse<(Instant, u64)>>,
     max_attempts: u32,
+    /// Why a request is refused now, as far as it is known outside the module.
+    refusal_cause: RefusalCause,
     /// The version of the list that servers are chosen from.
     version: Option<u64>,
     /// Watches for pauses of the process, where somebody judges what is old after one.
@@ -79,6 +83,7 @@
             queue: VecDeque::new(),
             requests: HashMap::new(),
             timers: BinaryHeap::new(),
+            refusal_cause: RefusalCause::Limit,
             version: None,
             wake: None,
         }
@@ -161,6 +166,8 @@
                 self.listed(whole, servers);
             }
             News::ListBroken => self.feed(Event::DiscoveryBroken),
+            News::ListExpired => self.refusal_cause = RefusalCause::ListExpired,
+            News::ListConfirmed => self.refusal_cause = RefusalCause::Limit,
             News::LastCall => self.last_call(),
         }
     }
@@ -296,7 +303,10 @@
                 let gone = Gone { inbox: self.inbox.clone(), id: Some(id) };
                 self.answer(id, Answer::Permitted(gone));
             }
-            Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused(retry_after)),
+            Action::Refuse { id, retry_after } => {
+                let cause = self.refusal_cause;
+                self.answer(id, Answer::Refused(Refusal { retry_after, cause }));
+            }
             Action::Fail { id } => self.answer(id, Answer::Failed),
             Action::Cancel { id, attempt } => {
                 if self.stop(id, attempt) {
--- a/crates/daemon/src/inbox.rs
+++ b/crates/daemon/src/inbox.rs
@@ -22,8 +22,8 @@
 pub enum Answer {
     /// A server's answer, whole.
     Served(Response<Bytes>),
-    /// Trying again is harmless; the client should stay away for so many seconds, or is given no advice.
-    Refused(f64),
+    /// Trying again is harmless.
+    Refused(Refusal),
     /// No promise of its effect.
     Failed,
     /// The client may make its call itself; until it knows, it may still leave.
@@ -32,6 +32,38 @@
     Denied(Denial),
 }
 
+/// A request that is declined before anything was done about it.
+pub struct Refusal {
+    /// The client should stay away for so many seconds; 0: no advice.
+    pub retry_after: f64,
+    pub cause: RefusalCause,
+}
+
+/// What operators and clients are told of the cause of a refusal.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// The quota, or the servers that have enough to do.
+    Limit,
+    /// The list of servers could not be confirmed in time.
+    ListExpired,
+}
+
+impl Refusal {
+    pub fn limit(retry_after: f64) -> Self {
+        Refusal { retry_after, cause: RefusalCause::Limit }
+    }
+
+    /// One line for people.
+    pub fn text(&self) -> &'static str {
+        match self.cause {
+            RefusalCause::Limit => "refused: trying again is harmless\n",
+            RefusalCause::ListExpired => {
+                "refused: the list of servers is out of date; trying again is harmless\n"
+            }
+        }
+    }
+}
+
 /// What becomes of a request that is granted.
 pub enum Call {
     /// It goes on to a server.
@@ -82,6 +114,7 @@
 }
 
 /// A server in the list: what the module is to know, and where it listens.
+#[derive(Clone)]
 pub struct Listed {
     pub entry: ServerEntry,
     pub address: SocketAddr,
@@ -107,6 +140,10 @@
     Listed { whole: bool, servers: Vec<Listed>, version: Option<u64> },
     /// The list can no longer be followed.
     ListBroken,
+    /// The list could not be confirmed in time; nothing new is sent by it until it is.
+    ListExpired,
+    /// The list has been confirmed again.
+    ListConfirmed,
     /// The process ends before long: what is not answered yet is answered now.
     LastCall,
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -24,11 +24,13 @@
 use host::{Host, Peers};
 use inbox::{Inbox, News};
 use liftrouter_decision::Settings;
+use liftrouter_discovery::Delivery;
 use liftrouter_inventory::Form;
 use liftrouter_keeper::Pacer;
 use log::log;
-use membership::discovery::{Discovery, Update};
+use membership::discovery::Discovery;
 use membership::file;
+use membership::update::Update;
 use operator::Operator;
 use peers::authoriser::Authorisers;
 use peers::judging::Judging;
@@ -318,7 +320,8 @@
         pacer = judged.pace(settings.peers).map(|pace| Pacer::new(pace, part, 0.0));
     }
     let keepers = Keepers::new(all, pacer);
-    let list = Rc::new(Discovery::new(discovery));
+    let delivery = if settings.discovery_on_request { Delivery::OnRequest } else { Delivery::Pushed };
+    let list = Rc::new(Discovery::new(discovery, delivery));
     let peers = Peers { servers: servers.clone(), keepers: keepers.clone() };
     let mut host = Host::new(settings.clone(), seed, inbox.clone(), peers);
     let memory = config.limits.memory_mb.filter(|mb| *mb > 0.0).unwrap_or(MEMORY_MB_DEFAULT);
@@ -351,7 +354,7 @@
         // The file alone counts: what discovery knew before, or would tell now, could contradict it.
         spawn_local(source.follow(inbox.clone(), adopted.clone()));
     } else {
-        spawn_local(list.clone().watch(inbox.clone()));
+        spawn_local(list.clone().watch(inbox.clone(), seed));
     }
     spawn_local(reload(hangup, path, list.clone(), keepers));
     let accepting = spawn_local({
@@ -379,10 +382,12 @@
                 adopted.notified().await;
             } else if timeout(FIRST_LIST, list.heard()).await.is_err() {
                 // Until here no server was known, so whoever came all the same was refused at once.
-                log("discovery", "no list came: going by the one in the configuration");
-                if let Some(mut known) = config.known {
-                    known.reset = true;
-                    inbox.push(known.news());
+                match config.known.filter(|_| list.trusts_known_list()) {
+                    Some(known) => {
+                        log("discovery", "no list came: going by the one in the configuration");
+                        inbox.push(News::Listed { whole: true, servers: known.servers(), version: None });
+                    }
+                    None => log("discovery", "no list came: all is refused until one does"),
                 }
             }
             clients.set_ready();
--- a/crates/daemon/src/membership/discovery.rs
+++ b/crates/daemon/src/membership/discovery.rs
@@ -1,170 +1,53 @@
-//! Discovery: follows the list of servers on a watch, and takes it up again where it broke.
+//! Follows the list of servers on a watch, and opens another where that one breaks or falls silent.
+//!
+//! When to call, and for how long a list may be used, is decided in `liftrouter_discovery`; here are the sockets.
 
-use super::messages::{Sign, Splitter};
-use crate::count::Count;
-use crate::inbox::{Inbox, Listed, News};
+use super::catalog::Catalog;
+use super::update::Update;
+use super::watch::{Call, Watch, WatchError};
+use crate::inbox::{Inbox, News};
 use crate::log;
-use crate::peers::link::Link;
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
-use hyper::header::HOST;
-use hyper::{Request, StatusCode};
-use liftrouter_decision::{ServerEntry, ServerState};
-use serde::de::Error;
-use serde::{Deserialize, Deserializer};
+use liftrouter_discovery::{CallId, Delivery, Event, Follower};
 use std::cell::Cell;
 use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{sleep_until, Instant};
 
-// What discovery tells counts as told 6 s after it had it and could be reached, and 4 s after a move, whether or
-// not it arrived. An empty line comes every 2 s while nothing changes, and a peer that is cut off never errs: only
-// silence tells. So from the last sign of life it takes SILENCE until others are opened, one every EVERY, none of
-// which waits for the one before. Each opening that is refused, hangs, or gets no further than its head costs
-// EVERY, or SPARE where all that are out have a head: six in a row leave room for a busy machine still.
-
-/// A watch that has given no sign of life for so long is taken to be broken.
-const SILENCE: Duration = Duration::from_millis(2_500);
-/// How long connecting, and the head of an answer, may take.
-const OPENING: Duration = Duration::from_millis(800);
-/// Openings begin so long after one another while none has its head, and where one has.
-const EVERY: Duration = Duration::from_millis(200);
-const SPARE: Duration = Duration::from_millis(500);
-/// The most openings at once: more than fit into their times, as a guard of the descriptors.
-const MOST_OPENINGS: usize = 10;
-/// The longest message; a list of some ten thousand servers fits.
-const LONGEST: usize = 4 << 20;
-
-/// A message of discovery: the whole list, or what changed.
-#[derive(Deserialize)]
-pub struct Update {
-    pub generation: u64,
-    #[serde(default)]
-    pub reset: bool,
-    #[serde(default, deserialize_with = "readable")]
-    pub instances: Vec<Instance>,
-}
-
-impl Update {
-    /// What it tells the host.
-    pub fn news(self) -> News {
-        let listed = |i: Instance| Listed { entry: i.entry(), address: i.host_port };
-        let servers = self.instances.into_iter().map(listed).collect();
-        News::Listed { whole: self.reset, servers, version: None }
-    }
-}
-
-/// The entries that can be read. One that cannot must not hide the others: asked for again, the line would be
-/// the same.
-fn readable<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Instance>, D::Error> {
-    let entries = Vec::<serde_json::Value>::deserialize(deserializer)?;
-    let (mut instances, named) = (Vec::new(), entries.len());
-    for entry in entries {
-        match Instance::deserialize(entry) {
-            Ok(instance) => instances.push(instance),
-            Err(e) => log("discovery", format_args!("an entry cannot be read: {e}")),
-        }
-    }
-    // Where none can, the line says nothing: least of all that every server is gone.
-    if instances.is_empty() && named > 0 {
-        return Err(D::Error::custom("no entry can be read"));
-    }
-    Ok(instances)
-}
-
-/// One server in it.
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Instance {
-    instance_id: String,
-    host_port: SocketAddr,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    machine_type: String,
-    #[serde(default)]
-    cell: i64,
-    lifecycle: String,
-    weight: Option<f64>,
-    started_at_ms: Option<f64>,
-}
-
-impl Instance {
-    /// The same as the module knows it.
-    fn entry(&self) -> ServerEntry {
-        ServerEntry {
-            id: self.instance_id.as_str().into(),
-            zone: self.zone.as_str().into(),
-            kind: self.machine_type.as_str().into(),
-            cell: self.cell,
-            state: match self.lifecycle.as_str() {
-                "in_service" => ServerState::InService,
-                "terminating" => ServerState::Draining,
-                // A state that is not known here is no state to send work to.
-                _ => ServerState::Gone,
-            },
-            weight: self.weight.unwrap_or(1.0),
-            started: self.started_at_ms.filter(|at| *at > 0.0).map(|at| at / 1000.0),
-        }
-    }
-}
+/// A list that is older than the one at hand is taken only where discovery has told nothing newer for so long:
+/// by then it has lost its history, and any list is better than none.
+const OLDER_LIST_AFTER: Duration = Duration::from_secs(60);
 
+/// Discovery as the other parts see it.
 pub struct Discovery {
     address: Cell<SocketAddr>,
+    delivery: Delivery,
     /// The address has changed: all that is open or being opened ends.
     moved: Notify,
     heard: Notify,
     open: Rc<Cell<usize>>,
-    /// Openings that have their head and wait for a first sign of life.
-    heads: Rc<Cell<usize>>,
 }
 
-/// A watch that has given a sign of life.
-struct Watch {
-    link: Link,
-    body: Incoming,
-    splitter: Splitter,
-    /// Its latest sign of life.
-    alive: Instant,
-}
-
-impl Watch {
-    /// Waits for the next sign of life: an update, or none where it only tells that nothing changed.
-    async fn next(&mut self) -> Result<Option<Update>, String> {
-        loop {
-            if let Some(sign) = self.splitter.next_sign()? {
-                self.alive = Instant::now();
-                return match sign {
-                    Sign::EmptyLine => Ok(None),
-                    Sign::Message(text) => serde_json::from_slice(&text)
-                        .map(Some)
-                        .map_err(|e| format!("a message cannot be read: {e}")),
-                };
-            }
-            let frame = self.link.drive(self.body.frame()).await;
-            let frame = frame.ok_or("the watch ended")?.map_err(|e| format!("the watch broke: {e}"))?;
-            self.splitter.push(frame.data_ref().map_or(&[][..], |data| data));
-        }
-    }
-}
-
-type Opened = Result<(Watch, Option<Update>), String>;
-
 impl Discovery {
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, delivery: Delivery) -> Self {
         Discovery {
             address: Cell::new(address),
+            delivery,
             moved: Notify::new(),
             heard: Notify::new(),
             open: Rc::default(),
-            heads: Rc::default(),
         }
     }
 
+    /// Whether a list that was known before may be used while none has been heard.
+    pub fn trusts_known_list(&self) -> bool {
+        self.delivery == Delivery::Pushed
+    }
+
     /// Follows the list at another address from now on. The watch on the old one is dropped at once: what it
     /// would still tell, the new one tells too, since it is asked for all after the last version.
     pub fn move_to(&self, address: SocketAddr) {
@@ -180,98 +63,204 @@
 
     /// Follows the list for as long as the program runs. It begins with a whole list, whatever was known before:
     /// with nothing changed since that, a watch would say nothing for seconds.
-    ///
-    /// Silent or not, a watch is kept until another has given a sign of life: while discovery is down all are
-    /// silent, and what comes at its return counts at once. Whichever speaks first is followed, the others end:
-    /// all of them tell what came after the same version.
-    pub async fn watch(self: Rc<Self>, inbox: Rc<Inbox>) {
-        let mut after: Option<u64> = None;
-        let mut watch: Option<Watch> = None;
-        let mut openings: JoinSet<Opened> = JoinSet::new();
-        // When the latest opening began, and how many came to nothing since a sign of life.
-        let (mut began, mut fruitless) = (None::<Instant>, 0u32);
+    pub async fn watch(self: Rc<Self>, inbox: Rc<Inbox>, seed: u64) {
+        Session::new(self, inbox, seed).run().await;
+    }
+}
+
+type Opened = (CallId, Result<(Watch, Option<Update>), WatchError>);
+
+/// The watch that is followed, and the calls that are to replace it.
+///
+/// Silent or not, a watch is kept until another has given a sign of life: while discovery is down all are silent,
+/// and what comes at its return counts at once. Whichever speaks first is followed, the others end: all of them
+/// tell what came after the same version.
+struct Session {
+    discovery: Rc<Discovery>,
+    inbox: Rc<Inbox>,
+    follower: Follower,
+    started: Instant,
+    watch: Option<Watch>,
+    calls: JoinSet<Opened>,
+    last_call: CallId,
+    answered: (UnboundedSender<CallId>, UnboundedReceiver<CallId>),
+    /// The version of the list at hand.
+    version: Option<u64>,
+    /// When the list at hand was last confirmed.
+    confirmed: Instant,
+    /// The list at hand, where it may expire.
+    catalog: Catalog,
+    /// Nothing is sent by the list at hand until it is confirmed.
+    expired: bool,
+    /// Calls in a row that came to nothing.
+    failures: u32,
+}
+
+impl Session {
+    fn new(discovery: Rc<Discovery>, inbox: Rc<Inbox>, seed: u64) -> Self {
+        let now = Instant::now();
+        Session {
+            follower: Follower::new(discovery.delivery, seed),
+            discovery,
+            inbox,
+            started: now,
+            watch: None,
+            calls: JoinSet::new(),
+            last_call: 0,
+            answered: unbounded_channel(),
+            version: None,
+            confirmed: now,
+            catalog: Catalog::default(),
+            expired: false,
+            failures: 0,
+        }
+    }
+
+    async fn run(mut self) {
+        let discovery = self.discovery.clone();
         loop {
-            let pace = if self.heads.get() > 0 { SPARE } else { EVERY };
-            let paced = began.map_or_else(Instant::now, |at| at + pace);
-            let due = watch.as_ref().map_or(paced, |watch| paced.max(watch.alive + SILENCE));
+            let next_call = self.follower.next_call();
+            let expiry = self.follower.expires_at().filter(|_| !self.expired);
+            let started = self.started;
             let sign = async {
-                match &mut watch {
+                match &mut self.watch {
                     Some(watch) => watch.next().await,
                     None => pending().await,
                 }
             };
             tokio::select! {
                 biased;
-                () = self.moved.notified() => (watch, openings, began) = (None, JoinSet::new(), None),
+                () = discovery.moved.notified() => self.moved(),
                 sign = sign => match sign {
-                    Ok(update) => {
-                        (openings, fruitless) = (JoinSet::new(), 0);
-                        self.take_in(&inbox, update, &mut after);
-                    }
-                    Err(why) => {
-                        log("discovery", why);
-                        inbox.push(News::ListBroken);
-                        watch = None;
-                    }
+                    Ok(update) => self.heartbeat(Event::Heartbeat, update),
+                    Err(why) => self.watch_closed(&why),
                 },
-                Some(opened) = openings.join_next() => match opened {
-                    Ok(Ok((opened, update))) => {
-                        (watch, openings, fruitless) = (Some(opened), JoinSet::new(), 0);
-                        self.take_in(&inbox, update, &mut after);
-                    }
-                    Ok(Err(why)) => {
-                        fruitless += 1;
-                        // Down for minutes, it must not fill the log.
-                        if fruitless.is_power_of_two() {
-                            log("discovery", format_args!("{why} (opening {fruitless})"));
-                        }
-                    }
-                    Err(_) => {}
+                () = until(started, expiry) => self.expire(),
+                Some(id) = self.answered.1.recv() => self.tell(Event::CallAnswered(id)),
+                Some(Ok((id, opened))) = self.calls.join_next() => match opened {
+                    Ok((watch, update)) => self.opened(id, watch, update),
+                    Err(why) => self.call_failed(id, &why),
                 },
-                () = sleep_until(due) => {
-                    began = Some(Instant::now());
-                    if openings.len() < MOST_OPENINGS {
-                        openings.spawn_local(self.clone().open(self.address.get(), after));
-                    }
-                }
+                () = until(started, next_call) => self.call(),
             }
         }
     }
 
-    fn take_in(&self, inbox: &Inbox, update: Option<Update>, after: &mut Option<u64>) {
-        if let Some(mut update) = update {
-            // What is changed since no version is the whole list.
-            update.reset |= after.is_none();
-            *after = Some(update.generation);
-            inbox.push(update.news());
+    fn tell(&mut self, event: Event) {
+        self.follower.handle(self.started.elapsed(), event);
+    }
+
+    fn call(&mut self) {
+        self.last_call += 1;
+        let call = Call {
+            id: self.last_call,
+            address: self.discovery.address.get(),
+            after: self.version,
+            timeout: self.follower.call_timeout(),
+            open: self.discovery.open.clone(),
+            answered: self.answered.0.clone(),
+        };
+        self.tell(Event::CallStarted(call.id));
+        self.calls.spawn_local(call.run());
+    }
+
+    fn moved(&mut self) {
+        self.watch = None;
+        self.calls = JoinSet::new();
+        self.tell(Event::Moved);
+    }
+
+    fn opened(&mut self, id: CallId, watch: Watch, update: Option<Update>) {
+        if let Err(why) = self.check_version(update.as_ref()) {
+            return self.call_failed(id, &why);
         }
-        if after.is_some() {
-            self.heard.notify_one();
+        self.watch = Some(watch);
+        self.heartbeat(Event::WatchOpened, update);
+    }
+
+    fn call_failed(&mut self, id: CallId, why: &WatchError) {
+        self.failures += 1;
+        // Down for minutes, it must not fill the log.
+        if self.failures.is_power_of_two() {
+            log("discovery", format_args!("{why} (opening {})", self.failures));
         }
+        self.tell(Event::CallFailed(id, why.failure()));
     }
 
-    /// Opens a watch and waits for its first sign of life.
-    async fn open(self: Rc<Self>, address: SocketAddr, after: Option<u64>) -> Opened {
-        let head = async {
-            let mut link =
-                Link::connect(address, &self.open).await.map_err(|e| format!("no connection: {e}"))?;
-            let after = after.map(|v| format!("&after={v}")).unwrap_or_default();
-            let request = Request::get(format!("/discovery/hosts?watch=1{after}"));
-            let request = request.header(HOST, address.to_string()).body(Full::default());
-            let request = request.map_err(|e| e.to_string())?;
-            let answer =
-                link.open(request).await.map_err(|_| "the watch broke before its answer".to_string())?;
-            Ok::<_, String>((link, answer))
-        };
-        let (link, answer) = timeout(OPENING, head).await.map_err(|_| "no answer".to_string())??;
-        if answer.status() != StatusCode::OK {
-            return Err(format!("the watch was answered {}", answer.status()));
+    fn watch_closed(&mut self, why: &WatchError) {
+        log("discovery", why);
+        self.inbox.push(News::ListBroken);
+        self.watch = None;
+        self.tell(Event::WatchClosed);
+    }
+
+    /// The watch that is followed now gave a sign of life; all calls have become needless.
+    fn heartbeat(&mut self, event: Event, update: Option<Update>) {
+        if let Err(why) = self.check_version(update.as_ref()) {
+            return self.watch_closed(&why);
+        }
+        self.calls = JoinSet::new();
+        self.failures = 0;
+        self.tell(event);
+        self.confirmed = Instant::now();
+        if let Some(update) = update {
+            self.take_in(update);
         }
-        let _head = Count::new(self.heads.clone());
-        let (body, alive) = (answer.into_body(), Instant::now());
-        let mut watch = Watch { link, body, splitter: Splitter::new(LONGEST), alive };
-        let first = timeout_at(alive + SILENCE, watch.next()).await;
-        let update = first.map_err(|_| "the watch was silent from its head on".to_string())??;
-        Ok((watch, update))
+        if std::mem::take(&mut self.expired) {
+            log("discovery", "the list of servers is confirmed again");
+            self.inbox.push(News::ListConfirmed);
+            self.push_list(true, self.catalog.listed());
+        }
+        if self.version.is_some() {
+            self.discovery.heard.notify_one();
+        }
+    }
+
+    /// A list that comes on request from one of several replicas may be older than the one at hand.
+    fn check_version(&self, update: Option<&Update>) -> Result<(), WatchError> {
+        let (Some(update), Some(held)) = (update, self.version) else { return Ok(()) };
+        let older = update.generation < held && self.discovery.delivery == Delivery::OnRequest;
+        if older && self.confirmed.elapsed() < OLDER_LIST_AFTER {
+            return Err(WatchError::Older { held, got: update.generation });
+        }
+        Ok(())
+    }
+
+    fn take_in(&mut self, mut update: Update) {
+        // What is changed since no version is the whole list.
+        update.reset |= self.version.is_none();
+        self.version = Some(update.generation);
+        match self.discovery.delivery {
+            Delivery::Pushed => self.push_list(update.reset, update.servers()),
+            Delivery::OnRequest => {
+                let whole = update.reset;
+                let servers = update.clone().servers();
+                self.catalog.apply(update);
+                if !self.expired {
+                    self.push_list(whole, servers);
+                }
+            }
+        }
+    }
+
+    /// The list at hand can no longer be trusted: what is told as draining gets nothing new.
+    fn expire(&mut self) {
+        let age = self.confirmed.elapsed().as_secs_f64();
+        log("discovery", format_args!("the list of servers is out of date, last confirmed {age:.1} s ago"));
+        self.expired = true;
+        self.inbox.push(News::ListExpired);
+        self.push_list(false, self.catalog.all_draining());
+    }
+
+    fn push_list(&self, whole: bool, servers: Vec<crate::inbox::Listed>) {
+        self.inbox.push(News::Listed { whole, servers, version: None });
+    }
+}
+
+/// Waits until a time after the start, or for ever.
+async fn until(started: Instant, at: Option<Duration>) {
+    match at {
+        Some(at) => sleep_until(started + at).await,
+        None => pending().await,
     }
 }
--- /dev/null
+++ b/crates/discovery/src/freshness.rs
@@ -0,0 +1,39 @@
+//! For how long the list at hand may be used.
+
+use crate::{Delivery, Event};
+use std::time::Duration;
+
+/// A change counts as told this long after discovery had it and could be reached, whether or not it arrived. So a
+/// list is good for this long after the last sign of life that confirmed it.
+pub const EXPIRY: Duration = Duration::from_secs(6);
+/// What another discovery tells counts as told this long after the move to it.
+pub const EXPIRY_AFTER_MOVE: Duration = Duration::from_secs(4);
+
+/// The expiry of a list.
+#[derive(Debug)]
+pub(crate) struct Freshness {
+    delivery: Delivery,
+    expires_at: Option<Duration>,
+}
+
+impl Freshness {
+    pub fn new(delivery: Delivery) -> Self {
+        Freshness { delivery, expires_at: None }
+    }
+
+    /// None before the first list, and where lists are pushed: an agent that is silent learns nothing either.
+    pub fn expires_at(&self) -> Option<Duration> {
+        self.expires_at
+    }
+
+    pub fn handle(&mut self, now: Duration, event: Event) {
+        if self.delivery == Delivery::Pushed {
+            return;
+        }
+        match event {
+            Event::WatchOpened | Event::Heartbeat => self.expires_at = Some(now + EXPIRY),
+            Event::Moved => self.expires_at = self.expires_at.map(|at| at.min(now + EXPIRY_AFTER_MOVE)),
+            Event::CallStarted(_) | Event::CallAnswered(_) | Event::CallFailed(..) | Event::WatchClosed => {}
+        }
+    }
+}
