Discovery on request: moves keep the retry budget, and limiters of one seed retry apart

Limiters that were given the same seed drew the same pauses.

Change: a move ends the backoff alone; the seed of the retries takes in the limiter's index.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -67,6 +67,8 @@
 /// Descriptors kept for the listener, the runtime, discovery and whatever is being accepted.
 const RESERVE: usize = 24;
 const SOCKETS_DEFAULT: usize = 1_024;
+/// An odd number whose multiples differ in all their bits.
+const SEED_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
 const MEMORY_MB_DEFAULT: f64 = 32.0;
 /// Share of the memory limit that the bodies of open requests may take. As much again may come back in
 /// answers, and each connection has a buffer of some kilobytes.
@@ -321,6 +323,8 @@
     }
     let keepers = Keepers::new(all, pacer);
     let delivery = if settings.discovery_on_request { Delivery::OnRequest } else { Delivery::Pushed };
+    // Limiters that were given one seed must not retry in step.
+    let retry_seed = seed ^ u64::from(settings.me).wrapping_mul(SEED_STEP);
     let list = Rc::new(Discovery::new(discovery, delivery));
     let peers = Peers { servers: servers.clone(), keepers: keepers.clone() };
     let mut host = Host::new(settings.clone(), seed, inbox.clone(), peers);
@@ -354,7 +358,7 @@
         // The file alone counts: what discovery knew before, or would tell now, could contradict it.
         spawn_local(source.follow(inbox.clone(), adopted.clone()));
     } else {
-        spawn_local(list.clone().watch(inbox.clone(), seed));
+        spawn_local(list.clone().watch(inbox.clone(), retry_seed));
     }
     spawn_local(reload(hangup, path, list.clone(), keepers));
     let accepting = spawn_local({
--- a/crates/discovery/src/backoff.rs
+++ b/crates/discovery/src/backoff.rs
@@ -57,13 +57,6 @@
         self.not_before = Duration::ZERO;
     }
 
-    /// Another service answers from now on: what the old one refused says nothing of it.
-    pub fn reset(&mut self, now: Duration) {
-        self.succeeded();
-        self.budget = BUDGET_DEPTH;
-        self.budget_at = now;
-    }
-
     /// The earliest time of the next call.
     pub fn not_before(&self) -> Duration {
         let missing = (1.0 - self.budget).max(0.0) / BUDGET_RATE;
--- a/crates/discovery/src/schedule.rs
+++ b/crates/discovery/src/schedule.rs
@@ -85,7 +85,8 @@
                 self.calls.clear();
                 self.watch = None;
                 self.last_started = None;
-                self.backoff.reset(now);
+                // What the old service refused says nothing of the new one; the budget is the limiter's own.
+                self.backoff.succeeded();
             }
         }
     }
