Tests of a discovery that is asked: a stand-in of limited capacity, and its faults

Cause: in the mode in which discovery is asked over the network, the program opens a watch every 0.2 s, up to ten at once, and no test held it to a budget or to a list that is out of date.

--- /dev/null
+++ b/crates/daemon/tests/common/asked.rs
@@ -0,0 +1,508 @@
+//! A discovery service that limiters call over the network: one queue of limited capacity, and faults on demand.
+//!
+//! Each limiter has a listening address of its own, so that calls, refusals and signs of life are counted per
+//! limiter; all addresses share the queue and the list.
+use super::{chunk, instance, ok, raw, update, Fake, Message, WATCH_HEAD};
+use serde_json::Value;
+use std::collections::{HashMap, HashSet};
+use std::io::{BufReader, ErrorKind, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A call whose answer would take longer than this is refused at once.
+const OVERBOOK_BOUND: Duration = Duration::from_secs(2);
+/// An empty line is written after so long without a message.
+const EMPTY_LINE_PERIOD: Duration = Duration::from_secs(2);
+/// How often a waiting connection looks at the state.
+const POLL: Duration = Duration::from_millis(5);
+/// The generation of the first list, in which every server is in service.
+const FIRST_GENERATION: u64 = 10;
+/// Begins the correlation id of each request of an asker; the limiter's number and a serial number follow.
+const ID_MARK: &str = "7e57";
+
+/// What answering a call takes of the service.
+#[derive(Clone, Copy)]
+pub struct Cost {
+    pub per_call: Duration,
+    pub per_line: Duration,
+}
+
+impl Cost {
+    pub fn of_call(per_call_ms: u64) -> Cost {
+        Cost { per_call: Duration::from_millis(per_call_ms), per_line: Duration::from_millis(1) }
+    }
+}
+
+/// What becomes of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Conduct {
+    /// It waits its turn and is answered.
+    Serve,
+    /// It is taken and never answered.
+    Hang,
+    /// Its connection is closed without a byte.
+    Close,
+    /// It is answered 503, with this `Retry-After` if any.
+    Refuse(Option<&'static str>),
+    /// The connection ends within the head of the answer.
+    CutInHead,
+    /// The connection ends within the first message.
+    CutInMessage,
+    /// It is answered so much later.
+    AnswerAfter(Duration),
+    /// It is answered with the first list, older than any change.
+    OlderList,
+    /// It is answered with a whole list that names no draining server.
+    LeaveOutDraining,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    /// Not answered yet, or never.
+    Pending,
+    Answered,
+    Refused,
+    /// The service closed it unanswered or half answered.
+    Cut,
+    /// The limiter closed it before its answer.
+    Abandoned,
+}
+
+/// A call as the service saw it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub limiter: usize,
+    /// The address that it came to.
+    pub front: SocketAddr,
+    pub at: Instant,
+    /// When it was no longer out: its head was written, or its connection closed.
+    pub done: Option<Instant>,
+    pub outcome: Outcome,
+    pub target: String,
+}
+
+/// A whole message or an empty line, written to a limiter.
+#[derive(Clone, Debug)]
+pub struct Sign {
+    pub limiter: usize,
+    pub front: SocketAddr,
+    pub at: Instant,
+}
+
+/// A server that drains since a moment.
+#[derive(Clone, Debug)]
+pub struct Drain {
+    pub server: usize,
+    pub since: Instant,
+}
+
+struct Listed {
+    address: SocketAddr,
+    lifecycle: &'static str,
+    changed: u64,
+}
+
+/// A fault that befalls the next so many calls to an address.
+struct Fault {
+    conduct: Conduct,
+    calls_left: usize,
+}
+
+struct State {
+    cost: Cost,
+    servers: Vec<Listed>,
+    generation: u64,
+    faults: HashMap<SocketAddr, Fault>,
+    busy_until: Instant,
+    calls: Vec<Call>,
+    signs: Vec<Sign>,
+    drains: Vec<Drain>,
+    /// When a limiter was first written that a server drains.
+    told: HashMap<(usize, usize), Instant>,
+    next_watch: u64,
+    /// Watches with smaller numbers end.
+    ended_below: u64,
+    /// Watches with smaller numbers say nothing.
+    silent_below: u64,
+}
+
+/// A message that can be written, and the draining servers that it tells of.
+struct Text {
+    line: String,
+    lines: u32,
+    generation: u64,
+    drained: Vec<usize>,
+}
+
+impl State {
+    fn message(&self, after: Option<u64>, conduct: Conduct) -> Option<Text> {
+        let older = conduct == Conduct::OlderList;
+        let leaves_out = conduct == Conduct::LeaveOutDraining;
+        let since = after.filter(|after| !older && !leaves_out && *after <= self.generation);
+        let (mut named, mut drained) = (Vec::<Value>::new(), Vec::new());
+        for (n, server) in self.servers.iter().enumerate() {
+            let draining = server.lifecycle != "in_service" && !older;
+            if since.is_some_and(|since| server.changed <= since) {
+                continue;
+            }
+            if draining {
+                drained.push(n);
+            }
+            if draining && leaves_out {
+                continue;
+            }
+            let lifecycle = if older { "in_service" } else { server.lifecycle };
+            named.push(instance(&format!("s-{n}"), server.address, lifecycle));
+        }
+        if since.is_some() && named.is_empty() {
+            return None;
+        }
+        let generation = if older { FIRST_GENERATION } else { self.generation };
+        let line = update(generation, since.is_none(), &named);
+        Some(Text { line, lines: named.len() as u32, generation, drained })
+    }
+
+    /// What befalls a call to this address; counts it.
+    fn conduct(&mut self, front: SocketAddr) -> Conduct {
+        match self.faults.get_mut(&front) {
+            Some(fault) if fault.calls_left > 0 => {
+                fault.calls_left -= 1;
+                fault.conduct
+            }
+            _ => Conduct::Serve,
+        }
+    }
+
+    /// Takes a place in the queue: when the answer is ready, or none where that would take too long.
+    fn book(&mut self, lines: u32) -> Option<Instant> {
+        let now = Instant::now();
+        let ready = self.busy_until.max(now) + self.cost.per_call + self.cost.per_line * lines;
+        if ready - now > OVERBOOK_BOUND {
+            return None;
+        }
+        self.busy_until = ready;
+        Some(ready)
+    }
+
+    fn finish(&mut self, call: usize, outcome: Outcome) {
+        let call = &mut self.calls[call];
+        call.outcome = outcome;
+        call.done.get_or_insert_with(Instant::now);
+    }
+}
+
+/// The service.
+#[derive(Clone)]
+pub struct AskedDiscovery(Arc<Mutex<State>>);
+
+impl AskedDiscovery {
+    /// One that lists these servers as `s-0`, `s-1` and so on, all in service.
+    pub fn new(cost: Cost, servers: &[SocketAddr]) -> AskedDiscovery {
+        let listed = |address: &SocketAddr| Listed {
+            address: *address,
+            lifecycle: "in_service",
+            changed: FIRST_GENERATION,
+        };
+        AskedDiscovery(Arc::new(Mutex::new(State {
+            cost,
+            servers: servers.iter().map(listed).collect(),
+            generation: FIRST_GENERATION,
+            faults: HashMap::new(),
+            busy_until: Instant::now(),
+            calls: Vec::new(),
+            signs: Vec::new(),
+            drains: Vec::new(),
+            told: HashMap::new(),
+            next_watch: 0,
+            ended_below: 0,
+            silent_below: 0,
+        })))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A new address at which this limiter may call.
+    pub fn front(&self, limiter: usize) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+        let front = listener.local_addr().expect("address");
+        let service = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let service = service.clone();
+                thread::spawn(move || {
+                    service.connection(&stream, limiter, front);
+                    let _ = stream.shutdown(Shutdown::Both);
+                });
+            }
+        });
+        front
+    }
+
+    /// From now on every call to this address goes so.
+    pub fn conduct(&self, front: SocketAddr, conduct: Conduct) {
+        self.fail_next(front, conduct, usize::MAX);
+    }
+
+    /// The next so many calls to this address go so, later ones are served.
+    pub fn fail_next(&self, front: SocketAddr, conduct: Conduct, calls: usize) {
+        self.state().faults.insert(front, Fault { conduct, calls_left: calls });
+    }
+
+    pub fn set_cost(&self, cost: Cost) {
+        self.state().cost = cost;
+    }
+
+    /// A server begins to drain.
+    pub fn drain(&self, server: usize) {
+        let mut state = self.state();
+        state.generation += 1;
+        let generation = state.generation;
+        state.servers[server].lifecycle = "terminating";
+        state.servers[server].changed = generation;
+        state.drains.push(Drain { server, since: Instant::now() });
+    }
+
+    /// All open watches end in one instant.
+    pub fn end_watches(&self) {
+        let mut state = self.state();
+        state.ended_below = state.next_watch;
+    }
+
+    /// All open watches stay open and say nothing more.
+    pub fn silence_watches(&self) {
+        let mut state = self.state();
+        state.silent_below = state.next_watch;
+    }
+
+    pub fn calls(&self, limiter: usize) -> Vec<Call> {
+        self.state().calls.iter().filter(|c| c.limiter == limiter).cloned().collect()
+    }
+
+    pub fn signs(&self, limiter: usize) -> Vec<Sign> {
+        self.state().signs.iter().filter(|s| s.limiter == limiter).cloned().collect()
+    }
+
+    pub fn drains(&self) -> Vec<Drain> {
+        self.state().drains.clone()
+    }
+
+    /// When this limiter was first written that the server drains.
+    pub fn told(&self, limiter: usize, server: usize) -> Option<Instant> {
+        self.state().told.get(&(limiter, server)).copied()
+    }
+
+    fn connection(&self, stream: &TcpStream, limiter: usize, front: SocketAddr) {
+        let _ = stream.set_nodelay(true);
+        let Ok(copy) = stream.try_clone() else { return };
+        let Some(request) = Message::read(&mut BufReader::new(copy)) else { return };
+        let _ = stream.set_nonblocking(true);
+        let target = request.first.split(' ').nth(1).unwrap_or("").to_string();
+        let after = target.split("after=").nth(1).and_then(|a| a.split('&').next()?.parse().ok());
+        let (call, conduct) = {
+            let mut state = self.state();
+            let at = Instant::now();
+            state.calls.push(Call { limiter, front, at, done: None, outcome: Outcome::Pending, target });
+            (state.calls.len() - 1, state.conduct(front))
+        };
+        let connection = Connection { service: self, stream, limiter, front, call };
+        connection.answer(after, conduct);
+    }
+}
+
+/// A connection on which a call has come.
+struct Connection<'a> {
+    service: &'a AskedDiscovery,
+    stream: &'a TcpStream,
+    limiter: usize,
+    front: SocketAddr,
+    call: usize,
+}
+
+impl Connection<'_> {
+    fn answer(&self, after: Option<u64>, conduct: Conduct) {
+        match conduct {
+            Conduct::Hang => {
+                self.wait_until(None);
+            }
+            Conduct::Close => self.finish(Outcome::Cut),
+            Conduct::Refuse(advice) => self.refuse(advice),
+            Conduct::CutInHead => {
+                let (begun, _) = WATCH_HEAD.split_at(WATCH_HEAD.len() / 2);
+                self.finish(Outcome::Cut);
+                self.write(begun);
+            }
+            Conduct::CutInMessage => {
+                let whole = {
+                    let state = self.service.state();
+                    chunk(&state.message(None, conduct).expect("a whole list").line)
+                };
+                self.finish(Outcome::Cut);
+                self.write(WATCH_HEAD);
+                self.write(&whole[..whole.len() / 2]);
+            }
+            Conduct::AnswerAfter(pause) => {
+                if self.wait_until(Some(Instant::now() + pause)) {
+                    self.serve(after, Conduct::Serve);
+                }
+            }
+            Conduct::Serve | Conduct::OlderList | Conduct::LeaveOutDraining => self.serve(after, conduct),
+        }
+    }
+
+    fn refuse(&self, advice: Option<&str>) {
+        let header = advice.map(|after| format!("Retry-After: {after}\r\n")).unwrap_or_default();
+        self.finish(Outcome::Refused);
+        self.write(&raw("503 Service Unavailable", &header, "overbooked"));
+    }
+
+    /// Answers in turn, and follows the list from there on.
+    fn serve(&self, after: Option<u64>, conduct: Conduct) {
+        let booked = {
+            let mut state = self.service.state();
+            let lines = state.message(after, conduct).map_or(0, |text| text.lines);
+            state.book(lines)
+        };
+        let Some(ready) = booked else { return self.refuse(None) };
+        // The work is done whether or not the caller waits for it.
+        if !self.wait_until(Some(ready)) {
+            return;
+        }
+        let (number, mut sent, first) = {
+            let mut state = self.service.state();
+            let number = state.next_watch;
+            state.next_watch += 1;
+            let first = state.message(after, conduct);
+            let generation = state.generation;
+            (number, generation, first)
+        };
+        self.finish(Outcome::Answered);
+        self.write(WATCH_HEAD);
+        if let Some(text) = first {
+            sent = sent.max(text.generation);
+            self.tell(&text);
+        }
+        let mut spoke = Instant::now();
+        while !self.has_left() {
+            let (ends, silent, news) = {
+                let state = self.service.state();
+                let news =
+                    if state.generation > sent { state.message(Some(sent), Conduct::Serve) } else { None };
+                (number < state.ended_below, number < state.silent_below, news)
+            };
+            if ends {
+                return;
+            }
+            if !silent {
+                if let Some(text) = news {
+                    sent = text.generation;
+                    self.tell(&text);
+                    spoke = Instant::now();
+                } else if spoke.elapsed() >= EMPTY_LINE_PERIOD {
+                    self.sign(&[]);
+                    self.write("1\r\n\n\r\n");
+                    spoke = Instant::now();
+                }
+            }
+            thread::sleep(POLL);
+        }
+    }
+
+    fn tell(&self, text: &Text) {
+        self.sign(&text.drained);
+        self.write(&chunk(&text.line));
+    }
+
+    /// Notes a sign of life, and what it tells, just before it is written.
+    fn sign(&self, drained: &[usize]) {
+        if self.has_left() {
+            return;
+        }
+        let mut state = self.service.state();
+        let at = Instant::now();
+        state.signs.push(Sign { limiter: self.limiter, front: self.front, at });
+        for server in drained {
+            state.told.entry((self.limiter, *server)).or_insert(at);
+        }
+    }
+
+    fn finish(&self, outcome: Outcome) {
+        self.service.state().finish(self.call, outcome);
+    }
+
+    fn write(&self, text: &str) {
+        // The texts are short: they always fit.
+        let _ = (&mut &*self.stream).write_all(text.as_bytes());
+    }
+
+    fn has_left(&self) -> bool {
+        match self.stream.peek(&mut [0]) {
+            Ok(read) => read == 0,
+            Err(e) => e.kind() != ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Waits until then, or for ever; false if the limiter left before.
+    fn wait_until(&self, end: Option<Instant>) -> bool {
+        while end.is_none_or(|end| Instant::now() < end) {
+            if self.has_left() {
+                self.finish(Outcome::Abandoned);
+                return false;
+            }
+            thread::sleep(POLL);
+        }
+        true
+    }
+}
+
+/// A request as it came to a server.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Who sent it, where the request tells.
+    pub limiter: Option<usize>,
+    pub at: Instant,
+    pub first: String,
+}
+
+/// A server that answers its name and notes when requests come.
+pub struct TimedServer {
+    pub fake: Fake,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
+}
+
+impl TimedServer {
+    pub fn new(name: &'static str) -> TimedServer {
+        let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
+        let noted = arrivals.clone();
+        let fake = Fake::new(move |request| {
+            let id = request.header("x-correlation-id").unwrap_or_default();
+            let number = id.strip_prefix(ID_MARK).and_then(|rest| rest.get(..4));
+            let limiter = number.and_then(|digits| usize::from_str_radix(digits, 16).ok());
+            let arrival = Arrival { limiter, at: Instant::now(), first: request.first.clone() };
+            noted.lock().expect("lock").push(arrival);
+            ok(name)
+        });
+        TimedServer { fake, arrivals }
+    }
+
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.arrivals.lock().expect("lock").clone()
+    }
+}
+
+/// The text of a request that tells which limiter it was sent to.
+pub fn marked_quote(limiter: usize, serial: usize) -> String {
+    format!(
+        "GET /quote/00000000b4d65521?from=tls&to=nce HTTP/1.1\r\nHost: api.internal\r\n\
+         X-Correlation-Id: {ID_MARK}{limiter:04x}{serial:08x}\r\nX-Contract: roomy\r\nX-Time-Left: 9000m\r\n\
+         X-Metering: units=1,spread=1,first=0\r\n\r\n"
+    )
+}
+
+/// The limiters among these arrivals.
+pub fn senders(arrivals: &[Arrival]) -> HashSet<usize> {
+    arrivals.iter().filter_map(|a| a.limiter).collect()
+}
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -1,5 +1,6 @@
 //! Small fakes on loopback sockets, and the real binary between them.
 #![allow(dead_code)]
+pub mod asked;
 pub mod grpc;
 
 use serde_json::{json, Value};
