Tests of asked discovery: the drained server is the used one, older lists, requests that are out

Change: the server that is sent most is drained; both drain where an older list comes; a request that is out when the list goes out of date is finished; a test of the stand-in's queue itself.

--- a/crates/daemon/tests/asked.rs
+++ b/crates/daemon/tests/asked.rs
@@ -159,6 +159,15 @@
         }
     }
 
+    /// Drains the server that is sent most: a limiter with little to do may never send to the other.
+    fn drain_used(&self) -> usize {
+        let most = (0..self.servers.len()).max_by_key(|server| self.servers[*server].arrivals().len());
+        let most = most.expect("a server");
+        assert!(!self.servers[most].arrivals().is_empty(), "no server was sent anything");
+        self.discovery.drain(most);
+        most
+    }
+
     fn front(&self) -> SocketAddr {
         self.members[0].front
     }
@@ -284,7 +293,7 @@
 fn outage(case: &str, fault: impl Fn(&Rig)) {
     let mut rig = Rig::serving();
     fault(&rig);
-    rig.discovery.drain(0);
+    rig.drain_used();
     let began = Instant::now();
     thread::sleep(OUTAGE);
     let returned = Instant::now();
@@ -404,12 +413,14 @@
         rig.discovery.fail_next(rig.front(), conduct, 1);
         let began = Instant::now();
         rig.discovery.end_watches();
-        rig.discovery.drain(0);
+        let drained = rig.drain_used();
         thread::sleep(Duration::from_secs(8));
         let refused = rig.members[0].asker.refused_since(began);
         assert!(refused.is_empty(), "{case}: {:?}; calls {:?}", refused.first(), rig.outcomes(0));
-        let told =
-            rig.discovery.told(0, 0).unwrap_or_else(|| panic!("{case}: never told: {:?}", rig.outcomes(0)));
+        let told = rig
+            .discovery
+            .told(0, drained)
+            .unwrap_or_else(|| panic!("{case}: never told: {:?}", rig.outcomes(0)));
         assert!(told - began < TOLD, "{case}: told after {:?}", told - began);
         rig.check(&case);
     });
@@ -436,11 +447,11 @@
     let mut rig = Rig::serving();
     rig.discovery.conduct(rig.front(), Conduct::LeaveOutDraining);
     rig.discovery.end_watches();
-    rig.discovery.drain(0);
+    let drained = rig.drain_used();
     let began = Instant::now();
-    wait_until("the list without it has come", || rig.discovery.told(0, 0).is_some());
+    wait_until("the list without it has come", || rig.discovery.told(0, drained).is_some());
     thread::sleep(Duration::from_secs(4));
-    let told = rig.discovery.told(0, 0).expect("it was told");
+    let told = rig.discovery.told(0, drained).expect("it was told");
     assert!(rig.members[0].asker.served_since(told + GRACE).is_some(), "nothing is served any more");
     assert!(
         rig.members[0].asker.refused_since(began).is_empty(),
@@ -450,23 +461,49 @@
     rig.check("left out");
 }
 
+/// Both servers drain, so that a limiter with little to do has none that it would rather send to.
 #[test]
 fn an_older_list_brings_no_draining_server_back() {
     let mut rig = Rig::serving();
-    rig.discovery.drain(0);
-    wait_until("the drain is told", || rig.discovery.told(0, 0).is_some());
+    for server in 0..rig.servers.len() {
+        rig.discovery.drain(server);
+        wait_until("the drain is told", || rig.discovery.told(0, server).is_some());
+    }
     thread::sleep(GRACE);
     rig.discovery.conduct(rig.front(), Conduct::OlderList);
     let calls = rig.discovery.calls(0).len();
     rig.discovery.end_watches();
     wait_until("the older list was asked for", || rig.discovery.calls(0).len() > calls);
     thread::sleep(Duration::from_secs(4));
+    rig.check("older list");
+    // A newer one is taken again.
     rig.discovery.conduct(rig.front(), Conduct::Serve);
-    let returned = Instant::now();
     rig.discovery.end_watches();
-    rig.wait_until_all_serve(returned);
-    thread::sleep(Duration::from_secs(1));
-    rig.check("older list");
+    rig.discovery.restore(1);
+    let limiter = &rig.members[0].limiter;
+    wait_until("the newer list holds", || limiter.client().ask(&quote("roomy", 9000)).text() == "second");
+}
+
+/// What was sent before the list went out of date is finished; nothing is sent after.
+#[test]
+fn a_request_that_is_out_is_answered_after_the_list_went_out_of_date() {
+    let work = Duration::from_millis(1_600);
+    let mut rig = Rig::serving();
+    rig.members[0].asker.stop();
+    rig.discovery.conduct(rig.front(), Conduct::Refuse(None));
+    rig.discovery.end_watches();
+    rig.servers.iter().for_each(|server| server.take(work));
+    let signs = rig.discovery.signs(0);
+    let out_of_date = signs[signs.len() - 1].at + TOLD;
+    thread::sleep((out_of_date - Duration::from_millis(900)).saturating_duration_since(Instant::now()));
+    let mut client = rig.members[0].limiter.client();
+    let answer = client.ask(&marked_quote(0, MOST_REQUESTS));
+    assert!(Instant::now() > out_of_date + GRACE, "it was answered too early to tell");
+    assert_eq!(answer.status(), 200, "{}", answer.text());
+    let refused = client.ask(&marked_quote(0, MOST_REQUESTS + 1));
+    assert_eq!(refused.status(), 429, "{}", refused.text());
+    assert!(refused.text().contains("out of date"), "{}", refused.text());
+    rig.check("a request that is out");
 }
 
 #[test]
@@ -479,7 +516,7 @@
         rig.discovery.conduct(rig.front(), Conduct::Refuse(Some("30")));
         rig.discovery.conduct(other, conduct);
         rig.discovery.end_watches();
-        rig.discovery.drain(0);
+        rig.drain_used();
         thread::sleep(Duration::from_secs(1));
         rig.members[0].move_to(other, counter.address);
         let moved = Instant::now();
@@ -524,6 +561,35 @@
 
 // ----- several limiters and one queue -----
 
+/// The stand-in itself: calls wait in turn, one that would wait too long is refused, and who leaves is worked for.
+#[test]
+fn a_queue_of_calls_is_served_in_turn_up_to_its_bound() {
+    let server = TimedServer::new("first");
+    let discovery = AskedDiscovery::new(Cost::of_call(300), &[server.fake.address]);
+    let front = discovery.front(0);
+    let call = || {
+        let mut client = Client::to(front);
+        client.send("GET /discovery/hosts?watch=1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        client
+    };
+    let began = Instant::now();
+    let outcomes = || -> Vec<Outcome> { discovery.calls(0).iter().map(|call| call.outcome).collect() };
+    let mut clients = Vec::new();
+    for number in 0..7 {
+        clients.push(call());
+        wait_until("the call has come", || outcomes().len() > number);
+    }
+    // Six answers of 0.3 s fit into 2 s.
+    wait_until("the last is refused", || outcomes().contains(&Outcome::Refused));
+    clients.drain(1..5).for_each(Client::close);
+    wait_until("the others have left", || {
+        outcomes().iter().filter(|o| **o == Outcome::Abandoned).count() == 4
+    });
+    wait_until("two are answered", || outcomes().iter().filter(|o| **o == Outcome::Answered).count() == 2);
+    assert!(began.elapsed() >= Duration::from_millis(6 * 300), "the work for those who left was not done");
+    assert_eq!(outcomes().iter().filter(|o| **o == Outcome::Refused).count(), 1);
+}
+
 #[test]
 fn six_whose_watches_end_in_one_instant_take_their_turns() {
     let mut rig = Rig::new(Cost::of_call(200), Duration::from_millis(30));
@@ -531,14 +597,16 @@
     rig.wait_until_all_serve(Instant::now());
     let ended = Instant::now();
     rig.discovery.end_watches();
-    rig.discovery.drain(0);
+    let drained = rig.drain_used();
     thread::sleep(Duration::from_secs(7));
     for member in &rig.members {
         let refused = member.asker.refused_since(ended);
         let (number, calls) = (member.number, rig.outcomes(member.number));
         assert!(refused.is_empty(), "limiter {number} refused {:?}; calls {calls:?}", refused.first());
-        let told =
-            rig.discovery.told(number, 0).unwrap_or_else(|| panic!("{number} was never told: {calls:?}"));
+        let told = rig
+            .discovery
+            .told(number, drained)
+            .unwrap_or_else(|| panic!("{number} was never told: {calls:?}"));
         assert!(told - ended < TOLD, "limiter {number} was told after {:?}", told - ended);
     }
     rig.check("six");
@@ -553,7 +621,7 @@
         rig.wait_until_all_serve(Instant::now());
         rig.members.iter().for_each(|member| rig.discovery.conduct(member.front, conduct));
         rig.discovery.end_watches();
-        rig.discovery.drain(0);
+        rig.drain_used();
         thread::sleep(Duration::from_secs(8));
         rig.discovery.set_cost(Cost::of_call(300));
         let returned = Instant::now();
@@ -595,10 +663,10 @@
     rig.wait_until_all_serve(began);
     let ended = Instant::now();
     rig.discovery.end_watches();
-    rig.discovery.drain(0);
+    let drained = rig.drain_used();
     for member in &rig.members {
         let number = member.number;
-        let told = || rig.discovery.told(number, 0).is_some();
+        let told = || rig.discovery.told(number, drained).is_some();
         while !told() && ended.elapsed() < READY {
             thread::sleep(Duration::from_millis(20));
         }
--- a/crates/daemon/tests/common/asked.rs
+++ b/crates/daemon/tests/common/asked.rs
@@ -7,6 +7,7 @@
 use std::collections::{HashMap, HashSet};
 use std::io::{BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -266,6 +267,16 @@
         state.drains.push(Drain { server, since: Instant::now() });
     }
 
+    /// A server that drained is in service again.
+    pub fn restore(&self, server: usize) {
+        let mut state = self.state();
+        state.generation += 1;
+        let generation = state.generation;
+        state.servers[server].lifecycle = "in_service";
+        state.servers[server].changed = generation;
+        state.drains.retain(|drain| drain.server != server);
+    }
+
     /// All open watches end in one instant.
     pub fn end_watches(&self) {
         let mut state = self.state();
@@ -471,21 +482,29 @@
 pub struct TimedServer {
     pub fake: Fake,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
+    work_ms: Arc<AtomicU64>,
 }
 
 impl TimedServer {
     pub fn new(name: &'static str) -> TimedServer {
         let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
-        let noted = arrivals.clone();
+        let work_ms: Arc<AtomicU64> = Arc::default();
+        let (noted, work) = (arrivals.clone(), work_ms.clone());
         let fake = Fake::new(move |request| {
             let id = request.header("x-correlation-id").unwrap_or_default();
             let number = id.strip_prefix(ID_MARK).and_then(|rest| rest.get(..4));
             let limiter = number.and_then(|digits| usize::from_str_radix(digits, 16).ok());
             let arrival = Arrival { limiter, at: Instant::now(), first: request.first.clone() };
             noted.lock().expect("lock").push(arrival);
+            thread::sleep(Duration::from_millis(work.load(Ordering::SeqCst)));
             ok(name)
         });
-        TimedServer { fake, arrivals }
+        TimedServer { fake, arrivals, work_ms }
+    }
+
+    /// From now on a request takes so long.
+    pub fn take(&self, work: Duration) {
+        self.work_ms.store(work.as_millis() as u64, Ordering::SeqCst);
     }
 
     pub fn arrivals(&self) -> Vec<Arrival> {
