A test that watches which keep ending are replaced within the budget

Need: a success that lifts the backoff must not lift the budget; nothing looked at a service that answers well and ends each watch soon after.

Change: the test, and a stand-in that can answer a call to which nothing is new with a message of no servers. The first form of the test had heads alone, so the list went out of date with reason: the test was wrong there.

--- a/crates/daemon/tests/asked.rs
+++ b/crates/daemon/tests/asked.rs
@@ -559,6 +559,23 @@
     });
 }
 
+/// Each answer is good, and each watch ends soon after it: success must not lift the budget.
+#[test]
+fn watches_that_keep_ending_are_replaced_within_the_budget() {
+    let mut rig = Rig::serving();
+    rig.discovery.set_cost(Cost::of_call(10));
+    rig.discovery.say_unchanged();
+    let began = Instant::now();
+    rig.drain_used();
+    while began.elapsed() < Duration::from_secs(12) {
+        rig.discovery.end_watches();
+        thread::sleep(Duration::from_millis(100));
+    }
+    let refused = rig.members[0].asker.refused_since(began);
+    assert!(refused.is_empty(), "{:?}; calls {:?}", refused.first(), rig.outcomes(0));
+    rig.check("watches that keep ending");
+}
+
 #[test]
 fn a_new_process_sends_nothing_while_discovery_refuses() {
     let mut rig = Rig::new(Cost::of_call(20), Duration::from_millis(20));
--- a/crates/daemon/tests/common/asked.rs
+++ b/crates/daemon/tests/common/asked.rs
@@ -113,6 +113,8 @@
 
 struct State {
     cost: Cost,
+    /// A call to which nothing is new is answered with a message of no servers; else with its head alone.
+    says_unchanged: bool,
     servers: Vec<Listed>,
     generation: u64,
     faults: HashMap<SocketAddr, Fault>,
@@ -157,7 +159,7 @@
             let lifecycle = if older { "in_service" } else { server.lifecycle };
             named.push(instance(&format!("s-{n}"), server.address, lifecycle));
         }
-        if since.is_some() && named.is_empty() {
+        if since.is_some() && named.is_empty() && !self.says_unchanged {
             return None;
         }
         let generation = if older { FIRST_GENERATION } else { self.generation };
@@ -208,6 +210,7 @@
         };
         AskedDiscovery(Arc::new(Mutex::new(State {
             cost,
+            says_unchanged: false,
             servers: servers.iter().map(listed).collect(),
             generation: FIRST_GENERATION,
             faults: HashMap::new(),
@@ -257,6 +260,11 @@
         self.state().cost = cost;
     }
 
+    /// From now on a call to which nothing is new gets a message at once.
+    pub fn say_unchanged(&self) {
+        self.state().says_unchanged = true;
+    }
+
     /// A server begins to drain.
     pub fn drain(&self, server: usize) {
         let mut state = self.state();
