--- a/crates/daemon/tests/asked.rs
+++ b/crates/daemon/tests/asked.rs
@@ -576,6 +576,25 @@
     rig.check("watches that keep ending");
 }
 
+/// The budget is one limiter's, whatever address it calls.
+#[test]
+fn moves_in_a_row_do_not_lift_the_budget() {
+    let mut rig = Rig::serving();
+    let counter = counter();
+    let fronts = [rig.front(), rig.discovery.front(0)];
+    fronts.iter().for_each(|front| rig.discovery.conduct(*front, Conduct::Refuse(None)));
+    rig.discovery.end_watches();
+    rig.drain_used();
+    for front in fronts.iter().rev().cycle().take(4) {
+        thread::sleep(Duration::from_millis(1_200));
+        rig.members[0].move_to(*front, counter.address);
+    }
+    thread::sleep(TOLD);
+    fronts.iter().for_each(|front| rig.discovery.conduct(*front, Conduct::Serve));
+    rig.wait_until_all_serve(Instant::now());
+    rig.check("moves in a row");
+}
+
 #[test]
 fn a_new_process_sends_nothing_while_discovery_refuses() {
     let mut rig = Rig::new(Cost::of_call(20), Duration::from_millis(20));
