--- /dev/null
+++ b/crates/catalog/src/change_log.rs
@@ -0,0 +1,339 @@
+//! The list of servers as a relay holds it, and what changed in it.
+
+use crate::history::{History, HISTORY_CHANGES};
+use crate::{Digest, Instance, Subscription, Update};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::error::Error;
+use std::fmt;
+use std::sync::Arc;
+
+/// The current servers by service, and a bounded history of their changes.
+#[derive(Clone, Debug)]
+pub struct ChangeLog {
+    generation: Option<u64>,
+    by_id: HashMap<String, Arc<Instance>>,
+    services: BTreeMap<String, ServiceEntries>,
+    digest: Digest,
+    history: History,
+}
+
+/// The servers of one service.
+#[derive(Clone, Debug, Default)]
+struct ServiceEntries {
+    instances: BTreeMap<String, Arc<Instance>>,
+    digest: Digest,
+}
+
+/// What an update changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Applied {
+    /// The generation that is held now.
+    pub generation: u64,
+    /// The services whose servers changed; their children are to be told.
+    pub services: BTreeSet<String>,
+    /// How many servers changed.
+    pub changed: usize,
+}
+
+/// Why an update was not applied. The log is as it was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ApplyError {
+    /// A delta came before any whole list: what it builds on is missing.
+    Gap {
+        /// The generation of the delta.
+        got: u64,
+    },
+    /// The update is older than what is held.
+    Older {
+        /// The generation at hand.
+        held: u64,
+        /// The generation of the update.
+        got: u64,
+    },
+    /// The digest is not that of the list that the update leads to: something was lost. The whole list is to be
+    /// asked for, without a generation.
+    DigestMismatch {
+        /// The generation of the update.
+        generation: u64,
+        /// The digest that it carries.
+        expected: Digest,
+        /// The digest that it leads to.
+        computed: Digest,
+    },
+}
+
+impl fmt::Display for ApplyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ApplyError::Gap { got } => write!(f, "a delta of generation {got} came before any whole list"),
+            ApplyError::Older { held, got } => {
+                write!(f, "the update is older than the list: generation {got}, held {held}")
+            }
+            ApplyError::DigestMismatch { generation, expected, computed } => {
+                write!(f, "digest {expected} of generation {generation} differs from the list's {computed}")
+            }
+        }
+    }
+}
+
+impl Error for ApplyError {}
+
+/// One server before and after an update.
+struct Difference {
+    before: Option<Arc<Instance>>,
+    after: Option<Arc<Instance>>,
+}
+
+impl ChangeLog {
+    /// A log that holds nothing yet and remembers [`HISTORY_CHANGES`] changes.
+    pub fn new() -> Self {
+        Self::with_history(HISTORY_CHANGES)
+    }
+
+    /// A log that holds nothing yet and remembers so many changes.
+    pub fn with_history(limit: usize) -> Self {
+        ChangeLog {
+            generation: None,
+            by_id: HashMap::new(),
+            services: BTreeMap::new(),
+            digest: Digest::default(),
+            history: History::new(limit),
+        }
+    }
+
+    /// The generation at hand, to ask upstream for what came after it.
+    pub fn generation(&self) -> Option<u64> {
+        self.generation
+    }
+
+    /// How many changes are remembered.
+    pub fn history_len(&self) -> usize {
+        self.history.len()
+    }
+
+    /// The servers of a subscription that are not terminated.
+    pub fn instances<'a>(
+        &'a self,
+        subscription: &'a Subscription,
+    ) -> impl Iterator<Item = &'a Arc<Instance>> {
+        self.subscribed(subscription).flat_map(|service| service.instances.values())
+    }
+
+    /// The digest of the servers of a subscription.
+    pub fn digest(&self, subscription: &Subscription) -> Digest {
+        if *subscription == Subscription::All {
+            return self.digest;
+        }
+        let mut digest = Digest::default();
+        for service in self.subscribed(subscription) {
+            digest.merge(service.digest);
+        }
+        digest
+    }
+
+    /// Lets the next whole list be taken whatever its generation, since the root counts anew. The history ends
+    /// here: whoever asks for what came after an older generation gets a whole list.
+    pub fn forget_generation(&mut self) {
+        self.generation = None;
+    }
+
+    /// Takes in an update of upstream. A whole list is reduced to what differs from the one at hand.
+    ///
+    /// The digest of an update of which some entries could not be read is not looked at: it cannot be met.
+    pub fn apply(&mut self, update: Update) -> Result<Applied, ApplyError> {
+        self.check_generation(&update)?;
+        let generation = update.generation;
+        let (expected, readable) = (update.digest, update.unreadable.is_empty());
+        let differences = self.differences(update);
+        let computed = self.digest_after(&differences);
+        match expected {
+            Some(expected) if expected != computed && readable => {
+                return Err(ApplyError::DigestMismatch { generation, expected, computed });
+            }
+            _ => {}
+        }
+        Ok(self.commit(generation, differences))
+    }
+
+    fn check_generation(&self, update: &Update) -> Result<(), ApplyError> {
+        match self.generation {
+            None if !update.reset => Err(ApplyError::Gap { got: update.generation }),
+            Some(held) if update.generation < held => Err(ApplyError::Older { held, got: update.generation }),
+            _ => Ok(()),
+        }
+    }
+
+    fn differences(&self, update: Update) -> Vec<Difference> {
+        let reset = update.reset;
+        // Where an update names a server twice, the last entry counts.
+        let named: BTreeMap<String, Instance> =
+            update.instances.into_iter().map(|instance| (instance.instance_id.clone(), instance)).collect();
+        let mut differences = Vec::new();
+        if reset {
+            let missing = self.by_id.iter().filter(|(id, _)| !named.contains_key(*id));
+            differences
+                .extend(missing.map(|(_, held)| Difference { before: Some(held.clone()), after: None }));
+        }
+        for (id, instance) in named {
+            let before = self.by_id.get(&id).cloned();
+            let after = Some(instance).filter(|instance| !instance.is_terminated());
+            if before.as_deref() != after.as_ref() {
+                differences.push(Difference { before, after: after.map(Arc::new) });
+            }
+        }
+        differences
+    }
+
+    fn digest_after(&self, differences: &[Difference]) -> Digest {
+        let mut digest = self.digest;
+        for difference in differences {
+            if let Some(before) = &difference.before {
+                digest.remove(before);
+            }
+            if let Some(after) = &difference.after {
+                digest.add(after);
+            }
+        }
+        digest
+    }
+
+    fn commit(&mut self, generation: u64, differences: Vec<Difference>) -> Applied {
+        let held = self.generation.replace(generation);
+        match held {
+            Some(held) => self.history.advance(held, generation),
+            None => self.history.restart(generation),
+        }
+        let mut applied = Applied { generation, changed: differences.len(), ..Applied::default() };
+        for difference in differences {
+            self.replace(&difference);
+            if held.is_some() {
+                self.record(generation, &difference);
+            }
+            applied.services.extend(difference.services().map(str::to_owned));
+        }
+        if held == Some(generation) {
+            // Children that hold this generation already have what was wrong in it.
+            for service in &applied.services {
+                self.history.distrust(service, generation);
+            }
+        }
+        let services = &self.services;
+        self.history.forget_services(|name| services.contains_key(name));
+        applied
+    }
+
+    fn replace(&mut self, difference: &Difference) {
+        if let Some(before) = &difference.before {
+            self.remove(before);
+        }
+        if let Some(after) = &difference.after {
+            self.insert(after.clone());
+        }
+    }
+
+    fn remove(&mut self, instance: &Instance) {
+        self.by_id.remove(&instance.instance_id);
+        self.digest.remove(instance);
+        let Some(service) = self.services.get_mut(&instance.service) else { return };
+        service.instances.remove(&instance.instance_id);
+        service.digest.remove(instance);
+        if service.instances.is_empty() {
+            self.services.remove(&instance.service);
+        }
+    }
+
+    fn insert(&mut self, instance: Arc<Instance>) {
+        self.digest.add(&instance);
+        let service = self.services.entry(instance.service.clone()).or_default();
+        service.digest.add(&instance);
+        service.instances.insert(instance.instance_id.clone(), instance.clone());
+        self.by_id.insert(instance.instance_id.clone(), instance);
+    }
+
+    fn record(&mut self, generation: u64, difference: &Difference) {
+        let after_service = difference.after.as_ref().map(|after| after.service.as_str());
+        if let Some(before) = &difference.before {
+            // For the children of the service that it left, the server is gone.
+            if after_service != Some(before.service.as_str()) {
+                self.history.record(&before.service, generation, Arc::new(before.terminated()));
+            }
+        }
+        if let Some(after) = &difference.after {
+            self.history.record(&after.service, generation, after.clone());
+        }
+    }
+
+    /// What a child that holds a generation of its subscription is to be told; nothing before the first list.
+    ///
+    /// Without a generation, and where the history does not reach back to it, this is the whole list. The update
+    /// carries no digest; the caller adds one where it wants the child to compare.
+    pub fn since(&self, subscription: &Subscription, after: Option<u64>) -> Option<Update> {
+        let generation = self.generation?;
+        let (reset, instances) = match after.filter(|after| self.reaches_back(subscription, *after)) {
+            Some(after) => (false, self.changed_since(subscription, after)),
+            None => (true, self.instances(subscription).map(|instance| Instance::clone(instance)).collect()),
+        };
+        Some(Update { generation, reset, instances, ..Update::default() })
+    }
+
+    /// A message without changes that lets a child compare its digest; nothing before the first list.
+    pub fn digest_message(&self, subscription: &Subscription) -> Option<Update> {
+        let digest = Some(self.digest(subscription));
+        Some(Update { generation: self.generation?, digest, ..Update::default() })
+    }
+
+    fn reaches_back(&self, subscription: &Subscription, after: u64) -> bool {
+        self.generation.is_some_and(|generation| after <= generation)
+            && self.history.reaches_back(after)
+            && self
+                .known_services(subscription)
+                .iter()
+                .all(|service| self.history.service_reaches_back(service, after))
+    }
+
+    fn changed_since(&self, subscription: &Subscription, after: u64) -> Vec<Instance> {
+        let mut last = BTreeMap::new();
+        for service in self.known_services(subscription) {
+            for instance in self.history.changes(service, after) {
+                last.insert(instance.instance_id.as_str(), instance);
+            }
+        }
+        let current = |id: &str| self.by_id.get(id).filter(|held| subscription.includes(&held.service));
+        last.into_iter()
+            .map(|(id, noted)| current(id).map_or_else(|| noted.terminated(), |held| Instance::clone(held)))
+            .collect()
+    }
+
+    /// The services of a subscription in which something may have changed.
+    fn known_services<'a>(&'a self, subscription: &'a Subscription) -> Vec<&'a str> {
+        match subscription {
+            Subscription::All => self.history.service_names().collect(),
+            Subscription::Services(names) => names.iter().map(String::as_str).collect(),
+        }
+    }
+
+    fn subscribed<'a>(
+        &'a self,
+        subscription: &'a Subscription,
+    ) -> Box<dyn Iterator<Item = &'a ServiceEntries> + 'a> {
+        match subscription {
+            Subscription::All => Box::new(self.services.values()),
+            Subscription::Services(names) => {
+                Box::new(names.iter().filter_map(|name| self.services.get(name)))
+            }
+        }
+    }
+}
+
+impl Default for ChangeLog {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Difference {
+    /// The services whose children it concerns.
+    fn services(&self) -> impl Iterator<Item = &str> {
+        [&self.before, &self.after].into_iter().flatten().map(|instance| instance.service.as_str())
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/replica.rs
@@ -0,0 +1,173 @@
+//! The servers of a subscription as a child holds them.
+
+use crate::{Digest, Instance, Update};
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::fmt;
+
+/// The servers that a child follows, as the relays last told them.
+///
+/// The messages of one watch come in order, and each watch begins after the generation at hand; whether one was
+/// lost all the same, the digests tell.
+#[derive(Clone, Debug, Default)]
+pub struct Replica {
+    generation: Option<u64>,
+    instances: BTreeMap<String, Instance>,
+    digest: Digest,
+}
+
+/// One difference that an update made.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// The server is new, or something about it is.
+    Listed(Instance),
+    /// The server is gone; this is what was known of it.
+    Removed(Instance),
+}
+
+/// Why an update was not applied. The replica is as it was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplicaError {
+    /// A delta came before any whole list.
+    NoList,
+    /// The update is older than what is held.
+    Older {
+        /// The generation at hand.
+        held: u64,
+        /// The generation of the update.
+        got: u64,
+    },
+    /// The digest is not that of the servers that the update leads to: something was lost. The child is to ask
+    /// for the whole list of its subscription, without a generation.
+    Digest {
+        /// The generation of the update.
+        generation: u64,
+        /// The digest that it carries.
+        expected: Digest,
+        /// The digest that it leads to.
+        computed: Digest,
+    },
+}
+
+impl fmt::Display for ReplicaError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ReplicaError::NoList => f.write_str("a delta came before any whole list"),
+            ReplicaError::Older { held, got } => {
+                write!(f, "the update is older than the list: generation {got}, held {held}")
+            }
+            ReplicaError::Digest { generation, expected, computed } => {
+                write!(f, "digest {expected} of generation {generation} differs from the list's {computed}")
+            }
+        }
+    }
+}
+
+impl Error for ReplicaError {}
+
+impl Replica {
+    /// A replica that holds nothing yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The generation at hand, to ask for what came after it.
+    pub fn generation(&self) -> Option<u64> {
+        self.generation
+    }
+
+    /// The servers that are not terminated, by identity.
+    pub fn instances(&self) -> impl Iterator<Item = &Instance> {
+        self.instances.values()
+    }
+
+    /// The digest of these servers.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// Lets the next whole list be taken whatever its generation, since the root counts anew.
+    pub fn forget_generation(&mut self) {
+        self.generation = None;
+    }
+
+    /// Takes in an update and gives what it changed.
+    ///
+    /// The digest of an update of which some entries could not be read is not looked at: it cannot be met.
+    pub fn apply(&mut self, update: Update) -> Result<Vec<Change>, ReplicaError> {
+        self.check_generation(&update)?;
+        let changes = self.difference(&update);
+        let digest = self.digest_after(&changes);
+        check_digest(&update, digest)?;
+        for change in &changes {
+            self.commit(change);
+        }
+        self.digest = digest;
+        self.generation = Some(update.generation);
+        Ok(changes)
+    }
+
+    fn check_generation(&self, update: &Update) -> Result<(), ReplicaError> {
+        match self.generation {
+            None if !update.reset => Err(ReplicaError::NoList),
+            Some(held) if update.generation < held => {
+                Err(ReplicaError::Older { held, got: update.generation })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn difference(&self, update: &Update) -> Vec<Change> {
+        // Where an update names a server twice, the last entry counts.
+        let named: BTreeMap<&str, &Instance> =
+            update.instances.iter().map(|instance| (instance.instance_id.as_str(), instance)).collect();
+        let mut changes = Vec::new();
+        if update.reset {
+            let missing = self.instances.iter().filter(|(id, _)| !named.contains_key(id.as_str()));
+            changes.extend(missing.map(|(_, held)| Change::Removed(held.clone())));
+        }
+        for (id, instance) in named {
+            match self.instances.get(id) {
+                Some(held) if instance.is_terminated() => changes.push(Change::Removed(held.clone())),
+                Some(held) if held == instance => {}
+                None if instance.is_terminated() => {}
+                _ => changes.push(Change::Listed(instance.clone())),
+            }
+        }
+        changes
+    }
+
+    fn digest_after(&self, changes: &[Change]) -> Digest {
+        let mut digest = self.digest;
+        for change in changes {
+            let (Change::Listed(instance) | Change::Removed(instance)) = change;
+            if let Some(held) = self.instances.get(&instance.instance_id) {
+                digest.remove(held);
+            }
+            if let Change::Listed(instance) = change {
+                digest.add(instance);
+            }
+        }
+        digest
+    }
+
+    fn commit(&mut self, change: &Change) {
+        match change {
+            Change::Listed(instance) => {
+                self.instances.insert(instance.instance_id.clone(), instance.clone());
+            }
+            Change::Removed(instance) => {
+                self.instances.remove(&instance.instance_id);
+            }
+        }
+    }
+}
+
+fn check_digest(update: &Update, computed: Digest) -> Result<(), ReplicaError> {
+    match update.digest {
+        Some(expected) if expected != computed && update.unreadable.is_empty() => {
+            Err(ReplicaError::Digest { generation: update.generation, expected, computed })
+        }
+        _ => Ok(()),
+    }
+}
