Relays: the list of servers by services, through a tree that speaks discovery's protocol

Need: every limiter follows the whole list of servers. At 61,000 servers that is 12 MB on the wire at each start (50 minutes of the operators' 4 KB/s, arithmetic) and a decision that walks all of them.

Change: `liftrouter relay` follows discovery or other relays and serves watches filtered by `service=NAME`, as deltas from crates/catalog, with a digest every fifth heartbeat; a sign of life goes on only when one came from upstream, and a relay that is stale takes no children. `[relays]` in the operator's file lets a limiter follow its services there; it fails over to the next relay (rendezvous order) with its revision, calls with the backoff and budget of lists on request, and says that its list is stale after 8 s. Off without the section. The reading of lists is cut into session (sockets), sink (who takes in), host_list and upstream; wire types come from crates/catalog. A watch that falls silent is logged.

Properties of relayed calls and staleness added to crates/discovery.

--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -4,10 +4,15 @@
 use crate::group;
 use crate::log;
 use crate::membership::file;
+use crate::membership::upstream::Upstream;
 use crate::operator::{self, Operator};
+use crate::relay::{self, RelaySetup};
 use crate::serve::run;
-use clap::{Parser, Subcommand, ValueEnum};
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use liftrouter_catalog::Subscription;
+use liftrouter_discovery::Delivery;
 use liftrouter_inventory::Form;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -31,6 +36,8 @@
     /// Works on inventory files. Exit code: 0 done, 1 the file has faults, 2 it cannot be read.
     #[command(subcommand)]
     Inventory(InventoryCommand),
+    /// Serves the list of servers, by services, to limiters and other relays, until SIGTERM.
+    Relay(RelayArgs),
     /// Asks a limiter that runs who of the others is there, and what it holds. Exit code: 0 done, 2 it cannot be asked.
     Members {
         /// The Unix socket that its operator file names, `ask` in `[members]`.
@@ -42,6 +49,37 @@
     },
 }
 
+/// Whom a relay follows: discovery, or other relays.
+#[derive(Args)]
+struct RelayArgs {
+    /// Where children come.
+    #[arg(long, value_name = "ADDRESS")]
+    listen: SocketAddr,
+    /// Discovery, for a relay at the root.
+    #[arg(long, value_name = "ADDRESS", conflicts_with = "relay", required_unless_present = "relay")]
+    discovery: Option<SocketAddr>,
+    /// Discovery is a shared service that is called sparingly, not an agent on this machine.
+    #[arg(long, requires = "discovery")]
+    on_request: bool,
+    /// A relay nearer to the root; several stand in for one another.
+    #[arg(long, value_name = "ADDRESS")]
+    relay: Vec<SocketAddr>,
+    /// Spreads the retries and the choice of relays; another one for each relay.
+    #[arg(long, default_value_t = 0)]
+    seed: u64,
+}
+
+impl RelayArgs {
+    fn setup(self) -> RelaySetup {
+        let upstream = match self.discovery {
+            Some(address) if self.on_request => Upstream::discovery(address, Delivery::OnRequest),
+            Some(address) => Upstream::discovery(address, Delivery::Pushed),
+            None => Upstream::relays(self.relay, Subscription::All, self.seed),
+        };
+        RelaySetup { listen: self.listen, upstream, seed: self.seed }
+    }
+}
+
 #[derive(Subcommand)]
 enum InventoryCommand {
     /// Names every fault of a file as `file:line:column: reason`.
@@ -92,6 +130,7 @@
                 file::convert(&file, Form::Yaml)
             }
             Command::Inventory(InventoryCommand::Diff { old, new, json }) => file::compare(&old, &new, json),
+            Command::Relay(args) => relay::run(args.setup()).map(|()| 0),
             Command::Members { at, json } => group::show(&at, json).map(|text| {
                 print!("{text}");
                 0
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration file, and the environment that names it.
 
-use crate::membership::update::Update;
+use liftrouter_catalog::Update;
 use liftrouter_decision::Settings;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
--- a/crates/daemon/src/fronts/mod.rs
+++ b/crates/daemon/src/fronts/mod.rs
@@ -1,6 +1,6 @@
 //! Fronts: where clients ask. A front reads and checks, asks through the inbox, and writes the one answer.
 
-mod accept;
+pub mod accept;
 pub mod fields;
 pub mod gate;
 pub mod grpc;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod number;
 pub mod operator;
 pub mod peers;
+pub mod relay;
 pub mod serve;
 
 use log::log;
--- a/crates/daemon/src/membership/mod.rs
+++ b/crates/daemon/src/membership/mod.rs
@@ -1,8 +1,11 @@
 //! Membership: where the list of servers comes from.
 
-mod catalog;
 pub mod discovery;
 pub mod file;
+mod host_list;
 mod messages;
+pub mod session;
+pub mod sink;
 pub mod update;
+pub mod upstream;
 mod watch;
--- /dev/null
+++ b/crates/daemon/src/membership/sink.rs
@@ -0,0 +1,31 @@
+//! Who takes in what a watch tells.
+
+use liftrouter_catalog::{ReplicaError, Update};
+use std::time::Duration;
+
+/// The list that a [`super::session::Session`] keeps up to date.
+pub trait ListSink {
+    /// The revision to ask for what came after it; none where the whole list is needed.
+    fn revision(&self) -> Option<u64>;
+
+    /// Takes in a whole list, or changes.
+    ///
+    /// # Errors
+    /// It does not fit the list at hand, which stays as it is.
+    fn apply(&mut self, update: Update) -> Result<(), ReplicaError>;
+
+    /// Lets the next whole list be taken whatever its revision.
+    fn forget_revision(&mut self);
+
+    /// The watch gave a sign of life, with or without an update, which has been applied.
+    fn heartbeat(&mut self);
+
+    /// The watch ended and no other is open.
+    fn disconnected(&mut self);
+
+    /// No sign of life came for longer than the list is good for.
+    fn expired(&mut self, age: Duration);
+
+    /// The first sign of life after that.
+    fn confirmed(&mut self);
+}
--- a/crates/daemon/src/membership/update.rs
+++ b/crates/daemon/src/membership/update.rs
@@ -1,81 +1,41 @@
-//! What discovery says: the whole list of servers, or what changed in it.
+//! Servers of discovery as the rest of the limiter knows them.
 
 use crate::inbox::Listed;
 use crate::log;
+use liftrouter_catalog::{Instance, Lifecycle, Update};
 use liftrouter_decision::{ServerEntry, ServerState};
-use serde::de::Error;
-use serde::{Deserialize, Deserializer};
-use std::net::SocketAddr;
 
-/// A message of discovery: the whole list, or what changed.
-#[derive(Clone, Deserialize)]
-pub struct Update {
-    pub generation: u64,
-    #[serde(default)]
-    pub reset: bool,
-    #[serde(default, deserialize_with = "readable")]
-    pub instances: Vec<Instance>,
+/// A server of the list.
+pub fn listed(instance: &Instance) -> Listed {
+    Listed { entry: entry(instance), address: instance.host_port }
 }
 
-impl Update {
-    /// The servers that it names.
-    pub fn servers(self) -> Vec<Listed> {
-        let listed = |i: Instance| Listed { entry: i.entry(), address: i.host_port };
-        self.instances.into_iter().map(listed).collect()
-    }
+/// The same in another state.
+pub fn listed_as(instance: &Instance, state: ServerState) -> Listed {
+    let mut listed = listed(instance);
+    listed.entry.state = state;
+    listed
 }
 
-/// The entries that can be read. One that cannot must not hide the others: asked for again, the line would be
-/// the same.
-fn readable<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Instance>, D::Error> {
-    let entries = Vec::<serde_json::Value>::deserialize(deserializer)?;
-    let (mut instances, named) = (Vec::new(), entries.len());
-    for entry in entries {
-        match Instance::deserialize(entry) {
-            Ok(instance) => instances.push(instance),
-            Err(e) => log("discovery", format_args!("an entry cannot be read: {e}")),
-        }
-    }
-    // Where none can, the line says nothing: least of all that every server is gone.
-    if instances.is_empty() && named > 0 {
-        return Err(D::Error::custom("no entry can be read"));
+fn entry(instance: &Instance) -> ServerEntry {
+    ServerEntry {
+        id: instance.instance_id.as_str().into(),
+        zone: instance.zone.as_str().into(),
+        kind: instance.machine_type.as_str().into(),
+        cell: instance.cell,
+        state: match instance.lifecycle {
+            Lifecycle::InService => ServerState::InService,
+            Lifecycle::Terminating => ServerState::Draining,
+            Lifecycle::Terminated => ServerState::Gone,
+        },
+        weight: instance.weight.unwrap_or(1.0),
+        started: instance.started_at_ms.filter(|at| *at > 0.0).map(|at| at / 1000.0),
     }
-    Ok(instances)
-}
-
-/// One server in it.
-#[derive(Clone, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Instance {
-    instance_id: String,
-    host_port: SocketAddr,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    machine_type: String,
-    #[serde(default)]
-    cell: i64,
-    lifecycle: String,
-    weight: Option<f64>,
-    started_at_ms: Option<f64>,
 }
 
-impl Instance {
-    /// The same as the module knows it.
-    fn entry(&self) -> ServerEntry {
-        ServerEntry {
-            id: self.instance_id.as_str().into(),
-            zone: self.zone.as_str().into(),
-            kind: self.machine_type.as_str().into(),
-            cell: self.cell,
-            state: match self.lifecycle.as_str() {
-                "in_service" => ServerState::InService,
-                "terminating" => ServerState::Draining,
-                // A state that is not known here is no state to send work to.
-                _ => ServerState::Gone,
-            },
-            weight: self.weight.unwrap_or(1.0),
-            started: self.started_at_ms.filter(|at| *at > 0.0).map(|at| at / 1000.0),
-        }
+/// Tells of the entries of a message that could not be read.
+pub fn log_unreadable(update: &Update) {
+    for reason in &update.unreadable {
+        log("discovery", format_args!("an entry cannot be read: {reason}"));
     }
 }
--- a/crates/daemon/src/membership/watch.rs
+++ b/crates/daemon/src/membership/watch.rs
@@ -1,12 +1,12 @@
 //! One call to discovery, and the watch that it becomes.
 
 use super::messages::{Sign, Splitter};
-use super::update::Update;
 use crate::peers::link::Link;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HOST, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
+use liftrouter_catalog::{ReplicaError, Subscription, Update};
 use liftrouter_discovery::{CallFailure, CallId, SILENCE};
 use std::cell::Cell;
 use std::fmt;
@@ -38,8 +38,8 @@
     Broke(hyper::Error),
     /// What came is no list.
     Unreadable(String),
-    /// The list is older than the one at hand.
-    Older { held: u64, got: u64 },
+    /// What came does not fit the list at hand.
+    List(ReplicaError),
 }
 
 impl WatchError {
@@ -66,9 +66,7 @@
             WatchError::Ended => f.write_str("the watch ended"),
             WatchError::Broke(e) => write!(f, "the watch broke: {e}"),
             WatchError::Unreadable(why) => f.write_str(why),
-            WatchError::Older { held, got } => {
-                write!(f, "the list is older than the one at hand: version {got}, held {held}")
-            }
+            WatchError::List(why) => why.fmt(f),
         }
     }
 }
@@ -103,7 +101,9 @@
 pub struct Call {
     pub id: CallId,
     pub address: SocketAddr,
-    /// The version of the list at hand.
+    /// What is followed.
+    pub subscription: Subscription,
+    /// The revision of the list at hand.
     pub after: Option<u64>,
     /// How long the head of the answer may take.
     pub timeout: Duration,
@@ -134,10 +134,23 @@
         Ok((watch, update))
     }
 
+    /// The names of services are checked where they are configured: none needs to be escaped.
+    fn target(&self) -> String {
+        let mut target = String::from("/discovery/hosts?watch=1");
+        if let Some(revision) = self.after {
+            target += &format!("&after={revision}");
+        }
+        if let Subscription::Services(names) = &self.subscription {
+            for name in names {
+                target += &format!("&service={name}");
+            }
+        }
+        target
+    }
+
     async fn head(&self) -> Result<(Link, Response<Incoming>), WatchError> {
         let mut link = Link::connect(self.address, &self.open).await.map_err(WatchError::Connect)?;
-        let after = self.after.map(|version| format!("&after={version}")).unwrap_or_default();
-        let request = Request::get(format!("/discovery/hosts?watch=1{after}"));
+        let request = Request::get(self.target());
         let request = request.header(HOST, self.address.to_string()).body(Full::default());
         let request = request.map_err(|e| WatchError::Unreadable(e.to_string()))?;
         let answer = link.open(request).await.map_err(|_| WatchError::BrokeBeforeAnswer)?;
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,6 +1,8 @@
 //! The operator's own file: what the platform does not tell. TOML, checked whole at the start; without it the
 //! limiter is as the platform wants it.
 
+mod relays;
+
 use crate::fronts::grpc::Limits;
 use crate::group::Setup;
 use crate::membership::file::Source;
@@ -10,6 +12,7 @@
 use liftrouter_inventory::{Form, Policy};
 use liftrouter_keeper::{Order, Pace as CallPace, Terms};
 use liftrouter_members::swim::Pace;
+pub use relays::Relays;
 use serde::Deserialize;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -26,6 +29,7 @@
     authoriser: Vec<AuthoriserFile>,
     keeper: Option<KeeperFile>,
     members: Option<Spanned<MembersFile>>,
+    relays: Option<Spanned<relays::RelaysFile>>,
 }
 
 /// `[members]`: this limiter and the others know of each other.
@@ -154,6 +158,8 @@
     pub keeper: Option<Judged>,
     /// How this limiter is a member of a group, if it is.
     pub members: Option<Setup>,
+    /// The relays that the list comes through, in place of discovery.
+    pub relays: Option<Relays>,
     /// Where each class of an authoriser stands.
     places: Vec<(String, String)>,
 }
@@ -212,6 +218,7 @@
     let file: File = toml::from_str(text)
         .map_err(|e| place.fault(e.span().map_or(0, |s| s.start), e.message().to_string()))?;
     let mut places = Vec::new();
+    let relays = file.relays.map(|r| relays::check(&place, r, file.inventory.is_some())).transpose()?;
     let authorisers = file.authoriser.into_iter().map(|a| authoriser(&place, a, &mut places));
     Ok(Operator {
         authorisers: authorisers.collect::<Result<_, _>>()?,
@@ -220,6 +227,7 @@
         members: file.members.map(|m| members(&place, m)).transpose()?,
         inventory: file.inventory.map(|i| inventory(&place, i)).transpose()?,
         grpc: file.grpc.map(|g| grpc(&place, g)).transpose()?,
+        relays,
     })
 }
 
@@ -524,6 +532,16 @@
     #[test]
     fn faults_name_their_place_what_was_found_and_what_was_expected() {
         for (text, expected) in [
+            ("[relays]\naddresses = []\n", "o.toml:1:1: relays names no address, expected one at least"),
+            ("[relays]\naddresses = ['a']\n", "o.toml:2:14: addresses has \"a\", expected an address and a port"),
+            (
+                "[relays]\naddresses = ['127.0.0.1:1']\nservices = ['a b']\n",
+                "o.toml:3:13: services has \"a b\", expected 1 to 64 letters, digits, or one of - . _ ~",
+            ),
+            (
+                "[inventory]\ncsv = 'a'\n[relays]\naddresses = ['127.0.0.1:1']\n",
+                "o.toml:3:1: relays beside inventory, expected one: they could disagree",
+            ),
             ("[inventory]\n", "o.toml:1:1: inventory names no file, expected csv or yaml"),
             ("[inventory]\ncsv = 'a'\nyaml = 'b'\n", "inventory names csv and yaml, expected one"),
             ("[inventory]\ncsv = 'a'\nquiet_ms = 0\n", "o.toml:3:12: quiet_ms is 0, expected 1 to 10000"),
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -9,6 +9,7 @@
 use crate::inbox::{Inbox, News};
 use crate::log::log;
 use crate::membership::discovery::Discovery;
+use crate::membership::update::listed;
 use crate::operator::Operator;
 use crate::peers::authoriser::Authorisers;
 use crate::peers::judging::Judging;
@@ -140,7 +141,10 @@
     let delivery = if settings.discovery_on_request { Delivery::OnRequest } else { Delivery::Pushed };
     // Limiters that were given one seed must not retry in step.
     let retry_seed = seed ^ u64::from(settings.me).wrapping_mul(SEED_STEP);
-    let list = Rc::new(Discovery::new(discovery, delivery));
+    let list = Rc::new(match operator.relays {
+        Some(relays) => Discovery::by_relays(relays.addresses, relays.subscription, retry_seed),
+        None => Discovery::new(discovery, delivery),
+    });
     let peers = Peers { servers: servers.clone(), keepers: keepers.clone() };
     let mut host = Host::new(settings.clone(), seed, inbox.clone(), peers);
     let memory = config.limits.memory_mb.filter(|mb| *mb > 0.0).unwrap_or(MEMORY_MB_DEFAULT);
@@ -204,7 +208,8 @@
                 match config.known.filter(|_| list.trusts_known_list()) {
                     Some(known) => {
                         log("discovery", "no list came: going by the one in the configuration");
-                        inbox.push(News::Listed { whole: true, servers: known.servers(), version: None });
+                        let servers = known.instances.iter().map(listed).collect();
+                        inbox.push(News::Listed { whole: true, servers, version: None });
                     }
                     None => log("discovery", "no list came: all is refused until one does"),
                 }
--- a/crates/discovery/src/freshness.rs
+++ b/crates/discovery/src/freshness.rs
@@ -8,6 +8,8 @@
 pub const EXPIRY: Duration = Duration::from_secs(6);
 /// What another discovery tells counts as told this long after the move to it.
 pub const EXPIRY_AFTER_MOVE: Duration = Duration::from_secs(4);
+/// A change is to be in force everywhere within this time: a list from relays that is older is stale.
+pub const EXPIRY_RELAYED: Duration = Duration::from_secs(8);
 
 /// The expiry of a list.
 #[derive(Debug)]
@@ -27,11 +29,13 @@
     }
 
     pub fn handle(&mut self, now: Duration, event: Event) {
-        if self.delivery == Delivery::Pushed {
-            return;
-        }
+        let good_for = match self.delivery {
+            Delivery::Pushed => return,
+            Delivery::OnRequest => EXPIRY,
+            Delivery::Relayed => EXPIRY_RELAYED,
+        };
         match event {
-            Event::WatchOpened | Event::Heartbeat => self.expires_at = Some(now + EXPIRY),
+            Event::WatchOpened | Event::Heartbeat => self.expires_at = Some(now + good_for),
             Event::Moved => self.expires_at = self.expires_at.map(|at| at.min(now + EXPIRY_AFTER_MOVE)),
             Event::CallStarted(_) | Event::CallAnswered(_) | Event::CallFailed(..) | Event::WatchClosed => {}
         }
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -8,13 +8,15 @@
 //! [on request](Delivery::OnRequest), one service of fixed capacity answers all limiters: a call waits its turn, is
 //! refused where the queue is long, and costs the service work even when its caller has gone away. So there is one
 //! call at a time, with exponential backoff, jitter and a retry budget, and a list that cannot be confirmed expires.
+//! [Relays](Delivery::Relayed) are called as sparingly, each time another one; a list from them expires later, which
+//! says that it is stale.
 
 mod backoff;
 mod freshness;
 mod schedule;
 
-pub use freshness::{EXPIRY, EXPIRY_AFTER_MOVE};
-pub use schedule::{CallId, CALL_TIMEOUT_ON_REQUEST, CALL_TIMEOUT_PUSHED, SILENCE};
+pub use freshness::{EXPIRY, EXPIRY_AFTER_MOVE, EXPIRY_RELAYED};
+pub use schedule::{CallId, CALL_TIMEOUT_ON_REQUEST, CALL_TIMEOUT_PUSHED, SILENCE, SILENCE_RELAYED};
 
 use freshness::Freshness;
 use schedule::Schedule;
@@ -27,6 +29,8 @@
     Pushed,
     /// From a shared service, on request.
     OnRequest,
+    /// Through relays, each of which can stand in for the others.
+    Relayed,
 }
 
 /// Why a call came to nothing.
--- a/crates/discovery/src/schedule.rs
+++ b/crates/discovery/src/schedule.rs
@@ -9,6 +9,9 @@
 
 /// A watch that has given no sign of life for so long is broken: an empty line comes every 2 s.
 pub const SILENCE: Duration = Duration::from_millis(2_500);
+/// The same for a watch on a relay: one whose own upstream falls silent finds another within 2.5 s and a call, and its
+/// children need not leave it meanwhile.
+pub const SILENCE_RELAYED: Duration = Duration::from_millis(4_000);
 /// How long a pushed watch may take to open, up to the head of its answer: the agent answers at once.
 pub const CALL_TIMEOUT_PUSHED: Duration = Duration::from_millis(800);
 /// The same on request: the service answers or refuses within 2 s, and works on also where the caller has gone.
@@ -51,7 +54,14 @@
     pub fn call_timeout(&self) -> Duration {
         match self.delivery {
             Delivery::Pushed => CALL_TIMEOUT_PUSHED,
-            Delivery::OnRequest => CALL_TIMEOUT_ON_REQUEST,
+            Delivery::OnRequest | Delivery::Relayed => CALL_TIMEOUT_ON_REQUEST,
+        }
+    }
+
+    fn silence(&self) -> Duration {
+        match self.delivery {
+            Delivery::Pushed | Delivery::OnRequest => SILENCE,
+            Delivery::Relayed => SILENCE_RELAYED,
         }
     }
 
@@ -70,8 +80,9 @@
             Event::CallFailed(id, failure) => {
                 self.calls.retain(|call| call.id != id);
                 let retry_after = match failure {
-                    CallFailure::Refused { retry_after } => retry_after,
-                    CallFailure::Failed => None,
+                    // What one relay advises does not hold for the next one.
+                    CallFailure::Refused { retry_after } if self.delivery != Delivery::Relayed => retry_after,
+                    CallFailure::Refused { .. } | CallFailure::Failed => None,
                 };
                 self.backoff.call_failed(now, retry_after);
             }
@@ -92,10 +103,10 @@
     }
 
     pub fn next_call(&self, expires_at: Option<Duration>) -> Option<Duration> {
-        let wanted = self.watch.map_or(Duration::ZERO, |alive_at| alive_at + SILENCE);
+        let wanted = self.watch.map_or(Duration::ZERO, |alive_at| alive_at + self.silence());
         match self.delivery {
             Delivery::Pushed => self.next_pushed_call(wanted),
-            Delivery::OnRequest => self.next_requested_call(wanted, expires_at),
+            Delivery::OnRequest | Delivery::Relayed => self.next_requested_call(wanted, expires_at),
         }
     }
 
--- a/crates/discovery/tests/rule.rs
+++ b/crates/discovery/tests/rule.rs
@@ -20,6 +20,8 @@
 const TOLD_AFTER: Duration = Duration::from_secs(6);
 /// What another service has at a move to it counts as told so long after the move.
 const TOLD_AFTER_MOVE: Duration = Duration::from_secs(4);
+/// A list from relays is stale so long after its last sign of life.
+const STALE_AFTER: Duration = Duration::from_secs(8);
 /// A change is made so long after a tick, so that it never falls together with a sign of life.
 const AFTER_TICK: Duration = Duration::from_millis(1);
 
@@ -147,6 +149,29 @@
         });
     }
 
+    /// Calls to relays keep to the same budget.
+    #[test]
+    fn the_budget_holds_with_relays(history in any_history(Delivery::Relayed)) {
+        for_each_call(&history, |situation, at| {
+            let earliest = situation.earliest_in_budget();
+            assert!(at + ROUNDING >= earliest, "{at:?}: not before {earliest:?}: {:?}", situation.starts);
+        });
+    }
+
+    /// A list from relays is stale as soon as a change may be missing for the stated time, and no sooner.
+    #[test]
+    fn a_list_from_relays_is_stale_in_time(history in any_history(Delivery::Relayed)) {
+        let mut expires_at = None;
+        for entry in history.play() {
+            match entry.event {
+                Event::WatchOpened | Event::Heartbeat => expires_at = Some(entry.at + STALE_AFTER),
+                Event::Moved => expires_at = expires_at.map(|at| at.min(entry.at + TOLD_AFTER_MOVE)),
+                _ => {}
+            }
+            prop_assert_eq!(entry.expires_at, expires_at, "at {:?}", entry.at);
+        }
+    }
+
     /// Pushed lists never expire.
     #[test]
     fn pushed_lists_never_expire(history in any_history(Delivery::Pushed)) {
--- a/crates/discovery/tests/rule/history.rs
+++ b/crates/discovery/tests/rule/history.rs
@@ -63,7 +63,7 @@
     let flapping = (vec(any_quick_call(), 1..6), vec(any_brief_watch(), 1..4));
     let piling = (vec(any_pending_call(), 1..6), vec(any_watch(), 1..8));
     let fates = match delivery {
-        Delivery::OnRequest => prop_oneof![3 => mixed, 1 => flapping].boxed(),
+        Delivery::OnRequest | Delivery::Relayed => prop_oneof![3 => mixed, 1 => flapping].boxed(),
         Delivery::Pushed => prop_oneof![3 => mixed, 1 => flapping, 1 => piling].boxed(),
     };
     let moves = vec(0..600_u32, 0..4);
@@ -94,7 +94,7 @@
 
 fn any_call(delivery: Delivery) -> impl Strategy<Value = CallFate> {
     let (latest, longest_tail) = match delivery {
-        Delivery::OnRequest => (23_u32, 25_u32),
+        Delivery::OnRequest | Delivery::Relayed => (23_u32, 25_u32),
         Delivery::Pushed => (6, 90),
     };
     let retry_after = prop_oneof![
