Model: the list takes events and the time and returns effects, and knows no world

Change: `list.rs` holds the list alone: `List::handle(ListEvent, now) -> Vec<ListEffect>`, with the position of each limiter's watch in it. `discovery.rs` is the world's side: links, wire and order. The state of a server and its entry are made in one place. Behaviour is unchanged.

--- a/crates/model/src/faults.rs
+++ b/crates/model/src/faults.rs
@@ -107,7 +107,7 @@
                     self.trouble(l as u16, End::List, id, Trouble::Held);
                 }
             }
-            Kind::ListLate => drop(self.list.late.insert(id, fault.size)),
+            Kind::ListLate => drop(self.list.delays.insert(id, fault.size)),
             Kind::ListDrains => self.list_drains(victim, id, true),
             Kind::LimiterKilled => self.kill(victim, id),
             Kind::LimiterTerminated => self.terminate(victim, id),
@@ -139,7 +139,7 @@
         if self.keeper.silent.remove(&id) {
             self.keeper_speaks();
         }
-        self.list.late.remove(&id);
+        self.list.delays.remove(&id);
         let struck = self.links.undo(id);
         for (l, end) in &struck {
             if *end == End::List {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -30,6 +30,7 @@
 
 mod clients;
 mod counts;
+mod discovery;
 mod faults;
 mod figures;
 mod limiters;
--- a/crates/model/src/limiters.rs
+++ b/crates/model/src/limiters.rs
@@ -6,7 +6,7 @@
 use liftrouter_decision::{
     Action, Event, Limiter, LoadReport, Outcome, Request, RequestId, ServerState, Settings,
 };
-use liftrouter_stage::history::{AttemptId, Event as Seen, Listed, Over, Process, TryId};
+use liftrouter_stage::history::{AttemptId, Event as Seen, Over, Process, TryId};
 use liftrouter_stage::schedule::{micros, Arrival, Micros};
 use liftrouter_stage::settings::settings;
 use liftrouter_stage::trouble::Born;
@@ -116,8 +116,6 @@
     places: BTreeMap<u16, Place>,
     idle: HashMap<u16, Vec<Idle>>,
     probes: HashMap<u16, u32>,
-    /// Changes of the list that it has been told.
-    pub told: usize,
     pub calls_out: u32,
     pub keeper_quiet_until: Micros,
     pub keeper_kept_until: Micros,
@@ -146,7 +144,6 @@
             places: BTreeMap::new(),
             idle: HashMap::new(),
             probes: HashMap::new(),
-            told: 0,
             calls_out: 0,
             keeper_quiet_until: 0,
             keeper_kept_until: 0,
@@ -302,11 +299,7 @@
         let entries: Vec<_> = lines.iter().map(|line| self.entry(line)).collect();
         let gate = self.gate(l);
         for line in &lines {
-            let state = match line.state {
-                Listed::InService => ServerState::InService,
-                Listed::Draining => ServerState::Draining,
-                Listed::Gone => ServerState::Gone,
-            };
+            let state = line.server_state();
             let before = gate.places.get(&line.node).map(|p| p.life);
             if state != ServerState::InService || before != Some(line.life) {
                 gate.idle.remove(&line.node);
@@ -636,7 +629,7 @@
         // Made by the kit for the daemon: what it cannot read is a fault of ours, and shows as no module at all.
         let told = Settings::deserialize(settings(self.s, usize::from(l))).unwrap_or_default();
         self.gate(l).module = Some(Limiter::new(told, seed, clock));
-        let lines = self.whole(l);
+        let lines = self.list.snapshot(l);
         self.listed(l, true, lines);
         self.seen(l, Process::Ready);
         let door = &mut self.doors[usize::from(l)];
--- a/crates/model/src/list.rs
+++ b/crates/model/src/list.rs
@@ -1,18 +1,15 @@
-//! The list of servers, and how limiters are told of it.
+//! The list of servers: takes what happens and the time, and gives what the world is to carry out.
 
-use crate::limiters::In;
-use crate::links::End;
-use crate::world::{What, World};
-use liftrouter_decision::{ServerEntry, ServerState};
-use liftrouter_stage::history::{Event, Listed};
+use liftrouter_decision::{ServerEntry, ServerId, ServerState};
+use liftrouter_stage::history::Listed;
 use liftrouter_stage::node::cell;
 use liftrouter_stage::schedule::{micros, Micros};
 use std::collections::BTreeMap;
 
 /// A watch that has been silent for so long is broken.
-const SILENCE: Micros = 3_000_000;
-/// And is tried again after this.
-const AGAIN: Micros = 1_400_000;
+const WATCH_TIMEOUT: Micros = 3_000_000;
+/// And is retried after this.
+const WATCH_RETRY: Micros = 1_400_000;
 
 /// A node as the list has it.
 #[derive(Clone, Debug)]
@@ -24,115 +21,155 @@
     pub started: Option<f64>,
 }
 
-#[derive(Default)]
+impl Line {
+    /// As the decision module knows it, by the node's name and the scenario's rooms.
+    pub fn server_entry(&self, id: ServerId, rooms: &[String]) -> ServerEntry {
+        let index = usize::from(self.node);
+        ServerEntry {
+            id,
+            zone: rooms[index % rooms.len()].as_str().into(),
+            kind: "std".into(),
+            cell: cell(index, rooms.len()),
+            state: self.server_state(),
+            weight: 1.0,
+            started: self.started,
+        }
+    }
+
+    /// Its state as the decision module knows it.
+    pub fn server_state(&self) -> ServerState {
+        match self.state {
+            Listed::InService => ServerState::InService,
+            Listed::Draining => ServerState::Draining,
+            Listed::Gone => ServerState::Gone,
+        }
+    }
+}
+
+/// One process of a limiter, as far as its watch goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Watcher {
+    pub limiter: u16,
+    pub life: u32,
+}
+
+/// What happens to the list.
+#[derive(Debug)]
+pub(crate) enum ListEvent {
+    /// A node changes, which the list knows of after so many seconds. It replaces an older change that is not out yet.
+    Announced { line: Line, after: f64 },
+    /// Changes may be due.
+    ReleaseDue,
+    /// The watch of a limiter can take changes.
+    WatchReady { limiter: u16 },
+    /// The link of a watch begins to hold back what the list says.
+    WatchStalled(Watcher),
+    /// A stalled watch has timed out, unless its link passes again.
+    WatchChecked { watcher: Watcher, stalled: bool },
+}
+
+/// What the world carries out for the list, in this order.
+#[derive(Debug)]
+pub(crate) enum ListEffect {
+    /// Changes are due at a time.
+    ReleaseAt(Micros),
+    /// There are changes for every limiter whose watch is ready.
+    Offer,
+    /// Changes go out to a limiter.
+    Deliver { limiter: u16, changes: Vec<Line> },
+    /// A watch is checked after a pause.
+    CheckAfter { pause: Micros, watcher: Watcher },
+    /// A watch has timed out.
+    ReportBroken(Watcher),
+}
+
+/// A change that is not out yet.
+struct Pending {
+    at: Micros,
+    line: Line,
+}
+
 pub(crate) struct List {
     /// What changed, in order.
     log: Vec<Line>,
-    /// News that are not out yet.
-    pending: Vec<(Micros, Line)>,
-    pub late: BTreeMap<u32, f64>,
+    pending: Vec<Pending>,
+    /// How many changes each limiter has been sent.
+    sent: Vec<usize>,
+    /// Delays in seconds, by the fault that makes them.
+    pub delays: BTreeMap<u32, f64>,
 }
 
 impl List {
-    pub fn put(&mut self, line: Line) {
-        self.log.push(line);
-    }
-
-    /// The last that was said of a node, out or not.
-    pub fn last(&self, node: u16) -> Option<&Line> {
-        let pending = self.pending.iter().map(|(_, line)| line).find(|line| line.node == node);
-        pending.or_else(|| self.log.iter().rev().find(|line| line.node == node))
+    /// An empty one, for so many limiters.
+    pub fn new(limiters: usize) -> List {
+        List { log: Vec::new(), pending: Vec::new(), sent: vec![0; limiters], delays: BTreeMap::new() }
     }
 
-    /// The last word on each node since so many changes.
-    fn since(&self, after: usize) -> Vec<Line> {
-        let mut last: BTreeMap<u16, &Line> = BTreeMap::new();
-        for line in &self.log[after.min(self.log.len())..] {
-            last.insert(line.node, line);
+    /// Takes what happens at a time.
+    pub fn handle(&mut self, event: ListEvent, now: Micros) -> Vec<ListEffect> {
+        match event {
+            ListEvent::Announced { line, after } => vec![self.announce(line, after, now)],
+            ListEvent::ReleaseDue => self.release(now).then_some(ListEffect::Offer).into_iter().collect(),
+            ListEvent::WatchReady { limiter } => self.deliver(limiter).into_iter().collect(),
+            ListEvent::WatchStalled(watcher) => {
+                vec![ListEffect::CheckAfter { pause: WATCH_TIMEOUT, watcher }]
+            }
+            ListEvent::WatchChecked { stalled: false, .. } => Vec::new(),
+            ListEvent::WatchChecked { watcher, stalled: true } => {
+                let check = ListEffect::CheckAfter { pause: WATCH_RETRY, watcher };
+                vec![ListEffect::ReportBroken(watcher), check]
+            }
         }
-        last.into_values().cloned().collect()
     }
-}
 
-impl World<'_> {
-    /// News of a node that the list knows of after a time. It replaces older news that are not out yet.
-    pub(crate) fn announce(&mut self, line: Line, after: f64) {
-        let late: f64 = self.list.late.values().sum();
-        let at = self.now() + micros(after + late);
-        self.list.pending.retain(|(_, other)| other.node != line.node);
-        self.list.pending.push((at, line));
-        self.queue.at(at, What::Release);
+    /// Adds a change that is out at once.
+    pub fn put(&mut self, line: Line) {
+        self.log.push(line);
     }
 
-    pub(crate) fn release(&mut self) {
-        let now = self.now();
-        let pending = std::mem::take(&mut self.list.pending);
-        let (mut due, rest): (Vec<_>, Vec<_>) = pending.into_iter().partition(|(at, _)| *at <= now);
-        if due.is_empty() {
-            return self.list.pending = rest;
-        }
-        due.sort_by_key(|(at, _)| *at);
-        self.list.pending = rest;
-        self.list.log.extend(due.into_iter().map(|(_, line)| line));
-        for limiter in 0..self.gates.len() {
-            self.tell(limiter as u16);
-        }
+    /// The last that was said of a node, out or not.
+    pub fn last(&self, node: u16) -> Option<&Line> {
+        let pending = self.pending.iter().map(|change| &change.line).find(|line| line.node == node);
+        pending.or_else(|| self.log.iter().rev().find(|line| line.node == node))
     }
 
-    /// Tells a limiter what it has not been told, if it can be.
-    pub(crate) fn tell(&mut self, limiter: u16) {
-        let effect = self.links.effect(limiter, End::List);
-        let gate = &mut self.gates[usize::from(limiter)];
-        if effect.held || effect.dropping || effect.resetting || !gate.listens() {
-            return;
-        }
-        let (life, after) = (gate.life, std::mem::replace(&mut gate.told, self.list.log.len()));
-        let news = self.list.since(after);
-        if news.is_empty() {
-            return;
-        }
-        for line in &news {
-            self.note(Event::Told { limiter, node: line.node, life: line.life, state: line.state });
-        }
-        let wire = self.wires.wire() + effect.delay.as_micros() as Micros;
-        self.queue.after(wire, What::News(limiter, life, In::Listed(false, news)));
+    /// The whole list, as a limiter reads it at its start.
+    pub fn snapshot(&mut self, limiter: u16) -> Vec<Line> {
+        self.sent[usize::from(limiter)] = self.log.len();
+        self.since(0).into_iter().filter(|line| line.state != Listed::Gone).collect()
     }
 
-    /// The whole list, as a limiter has it at its start.
-    pub(crate) fn whole(&mut self, limiter: u16) -> Vec<Line> {
-        self.gates[usize::from(limiter)].told = self.list.log.len();
-        self.list.since(0).into_iter().filter(|line| line.state != Listed::Gone).collect()
+    fn announce(&mut self, line: Line, after: f64, now: Micros) -> ListEffect {
+        let delay: f64 = self.delays.values().sum();
+        let at = now + micros(after + delay);
+        self.pending.retain(|other| other.line.node != line.node);
+        self.pending.push(Pending { at, line });
+        ListEffect::ReleaseAt(at)
     }
 
-    /// The watch of a limiter has begun to be silent.
-    pub(crate) fn list_falls_silent(&mut self, limiter: u16) {
-        let life = self.gates[usize::from(limiter)].life;
-        self.queue.after(SILENCE, What::Silent(limiter, life));
+    /// Moves what is due to the log; whether there was anything.
+    fn release(&mut self, now: Micros) -> bool {
+        let pending = std::mem::take(&mut self.pending);
+        let (mut due, rest): (Vec<_>, Vec<_>) = pending.into_iter().partition(|change| change.at <= now);
+        self.pending = rest;
+        due.sort_by_key(|change| change.at);
+        let any = !due.is_empty();
+        self.log.extend(due.into_iter().map(|change| change.line));
+        any
     }
 
-    pub(crate) fn list_silent(&mut self, limiter: u16, life: u32) {
-        let effect = self.links.effect(limiter, End::List);
-        if effect.held || effect.dropping || effect.resetting {
-            self.news(limiter, life, In::Broken);
-            self.queue.after(AGAIN, What::Silent(limiter, life));
-        }
+    fn deliver(&mut self, limiter: u16) -> Option<ListEffect> {
+        let after = std::mem::replace(&mut self.sent[usize::from(limiter)], self.log.len());
+        let changes = self.since(after);
+        (!changes.is_empty()).then_some(ListEffect::Deliver { limiter, changes })
     }
 
-    /// A line as the module knows it.
-    pub(crate) fn entry(&self, line: &Line) -> ServerEntry {
-        let (index, rooms) = (usize::from(line.node), &self.s.rooms);
-        ServerEntry {
-            id: self.nodes[index].id.clone(),
-            zone: rooms[index % rooms.len()].as_str().into(),
-            kind: "std".into(),
-            cell: cell(index, rooms.len()),
-            state: match line.state {
-                Listed::InService => ServerState::InService,
-                Listed::Draining => ServerState::Draining,
-                Listed::Gone => ServerState::Gone,
-            },
-            weight: 1.0,
-            started: line.started,
+    /// The last change of each node since so many changes.
+    fn since(&self, after: usize) -> Vec<Line> {
+        let mut last: BTreeMap<u16, &Line> = BTreeMap::new();
+        for line in &self.log[after.min(self.log.len())..] {
+            last.insert(line.node, line);
         }
+        last.into_values().cloned().collect()
     }
 }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -159,7 +159,7 @@
             connected: HashMap::new(),
             keeper: Keeper::new(&s.keeper),
             calls: Vec::new(),
-            list: List::default(),
+            list: List::new(s.limiters.count),
             started: 0,
         };
         for n in 0..s.nodes.count {
