--- a/crates/rehearsal/src/standin/rogue/grpc.rs
+++ b/crates/rehearsal/src/standin/rogue/grpc.rs
@@ -109,12 +109,13 @@
                 wire::DATA if !frame.payload.is_empty() => asked.borrow_mut().remove(&frame.stream),
                 _ => None,
             };
-            let twice = question.filter(|q| !q.bound && permits(&frame.payload) && rogue.draws());
+            let twice =
+                question.filter(|q| !q.bound && permits(&frame.payload) && rogue.draws_permission_twice());
             if let Some(question) = twice.filter(|_| frame.flags & wire::END_STREAM == 0) {
                 out.extend_from_slice(&bytes);
                 let (kind, id, customer) =
                     (Wrong::PermissionTwice, Some(question.id), Some(question.customer));
-                rogue.note(Committed::meant(kind, id, customer, 1.0));
+                rogue.record.add(&Committed::meant(kind, id, customer, 1.0));
             }
             out.extend(bytes);
         }
