Model: limiters are parts that know no world: process, inbox, requests and servers

Change: `limiters/process.rs` is a state machine, event in and effects out, for starts, kills, SIGTERM and pauses; `inbox`, `requests` and `servers` (with the idle connections and probes) hold their state behind methods that get time and link as values. The world's side is cut by job: `events` in, `actions` out, `attempts` and `lifecycle`. Tuples are types: AttemptEnd, the variants of In, KeeperClient. Behaviour is unchanged, also where it looks wrong: a limiter that is killed while it starts still comes up with the life that was killed (read in the code, not seen in a run).

--- a/crates/model/src/clients.rs
+++ b/crates/model/src/clients.rs
@@ -68,7 +68,7 @@
             self.note(Event::Unreached { id, limiter: limiter as u16 });
             return self.ended(id, Ended::Unreached);
         }
-        let (limiter, life) = (limiter as u16, gate.life);
+        let (limiter, life) = (limiter as u16, gate.life());
         self.note(Event::Sent { id, limiter, due });
         self.open.insert(id, Open { limiter, due, life });
         let wire = self.wires.wire();
--- a/crates/model/src/counts.rs
+++ b/crates/model/src/counts.rs
@@ -37,6 +37,19 @@
     }
 }
 
+/// A limiter's side of the keeper: its kept connection, and the calls that are out.
+#[derive(Default)]
+pub(crate) struct KeeperClient {
+    calls_out: u32,
+    /// No call is made before this, after failed connects.
+    quiet_until: Micros,
+    /// The connection is kept until this.
+    pub kept_until: Micros,
+    /// Connects that failed in a row.
+    failed: u32,
+    born: Born,
+}
+
 /// A call that a limiter has made.
 pub(crate) struct Call {
     limiter: u16,
@@ -60,19 +73,19 @@
         let (now, effect) = (self.now(), self.links.effect(l, End::Keeper));
         let timeout = micros(self.s.keeper.timeout_ms / 1e3);
         let gate = &mut self.gates[usize::from(l)];
-        if now < gate.keeper_quiet_until {
+        if now < gate.keeper.quiet_until {
             return Err(Outcome::ConnectFailed);
         }
-        if gate.calls_out >= CALLS {
+        if gate.keeper.calls_out >= CALLS {
             return Err(Outcome::Full);
         }
-        gate.calls_out += 1;
-        let life = gate.life;
+        gate.keeper.calls_out += 1;
+        let life = gate.life();
         let refused = !self.keeper.refusing.is_empty();
-        let kept = now < gate.keeper_kept_until && !refused;
+        let kept = now < gate.keeper.kept_until && !refused;
         let key = self.calls.len();
-        let born = if kept { gate.keeper_born } else { effect.born() };
-        gate.keeper_born = born;
+        let born = if kept { gate.keeper.born } else { effect.born() };
+        gate.keeper.born = born;
         self.calls.push(Call {
             limiter: l,
             life,
@@ -88,11 +101,14 @@
         let wire = self.wires.wire();
         if refused || (effect.resetting && !kept) {
             let gate = &mut self.gates[usize::from(l)];
-            let pause = (BACKOFF.0 << gate.keeper_failed.min(8)).min(BACKOFF.1);
-            gate.keeper_failed += 1;
-            gate.keeper_quiet_until = now + 2 * wire + pause;
-            gate.keeper_kept_until = 0;
-            self.queue.after(2 * wire, What::News(l, life, In::Counted(key, Outcome::ConnectFailed, 0.0)));
+            let pause = (BACKOFF.0 << gate.keeper.failed.min(8)).min(BACKOFF.1);
+            gate.keeper.failed += 1;
+            gate.keeper.quiet_until = now + 2 * wire + pause;
+            gate.keeper.kept_until = 0;
+            self.queue.after(
+                2 * wire,
+                What::News(l, life, In::Counted { call: key, outcome: Outcome::ConnectFailed, total: 0.0 }),
+            );
             return Ok(());
         }
         self.queue.after(timeout, What::News(l, life, In::CallLimit(key)));
@@ -156,7 +172,12 @@
 
     fn call_back(&mut self, key: usize, outcome: Outcome, total: f64) {
         let Call { limiter, life, born, .. } = self.calls[key];
-        self.cross(limiter, End::Keeper, born, What::News(limiter, life, In::Counted(key, outcome, total)));
+        self.cross(
+            limiter,
+            End::Keeper,
+            born,
+            What::News(limiter, life, In::Counted { call: key, outcome, total }),
+        );
     }
 
     /// A call ends for its limiter, unless it has before; with its name and how long it took.
@@ -169,13 +190,13 @@
         let (limiter, name) = (call.limiter, std::mem::take(&mut call.name));
         let took = (now - call.began) as f64 / 1e6;
         let gate = &mut self.gates[usize::from(limiter)];
-        gate.calls_out = gate.calls_out.saturating_sub(1);
+        gate.keeper.calls_out = gate.keeper.calls_out.saturating_sub(1);
         match outcome {
             Outcome::Ok | Outcome::Full => {
-                (gate.keeper_kept_until, gate.keeper_failed) = (now + IDLE, 0);
+                (gate.keeper.kept_until, gate.keeper.failed) = (now + IDLE, 0);
             }
             // Its connection goes with it.
-            _ => gate.keeper_kept_until = 0,
+            _ => gate.keeper.kept_until = 0,
         }
         Some((name, took))
     }
--- a/crates/model/src/discovery.rs
+++ b/crates/model/src/discovery.rs
@@ -27,7 +27,7 @@
 
     /// The watch of a limiter has begun to be silent.
     pub(crate) fn list_falls_silent(&mut self, limiter: u16) {
-        let life = self.gates[usize::from(limiter)].life;
+        let life = self.gates[usize::from(limiter)].life();
         self.list_event(ListEvent::WatchStalled(Watcher { limiter, life }));
     }
 
@@ -67,8 +67,8 @@
         }
         let delay = self.links.effect(limiter, End::List).delay;
         let wire = self.wires.wire() + delay.as_micros() as Micros;
-        let life = self.gates[usize::from(limiter)].life;
-        self.queue.after(wire, What::News(limiter, life, In::Listed(false, changes)));
+        let life = self.gates[usize::from(limiter)].life();
+        self.queue.after(wire, What::News(limiter, life, In::Listed(changes)));
     }
 
     /// A line as the decision module knows it.
--- a/crates/model/src/faults.rs
+++ b/crates/model/src/faults.rs
@@ -1,5 +1,6 @@
 //! Faults, as the kit plays them.
 
+use crate::limiters::ProcessEvent;
 use crate::links::End;
 use crate::world::{What, World};
 use liftrouter_stage::history::Event;
@@ -86,7 +87,7 @@
             }
             Kind::KeeperSwapped => {
                 self.keeper.counts.forget(1.0 - fault.size, seed);
-                self.gates.iter_mut().for_each(|gate| gate.keeper_kept_until = 0);
+                self.gates.iter_mut().for_each(|gate| gate.keeper.kept_until = 0);
             }
             Kind::KeeperDoubled => self.keeper.counts.double(id),
             Kind::RoomCut => self.cut_room(fault),
@@ -109,9 +110,11 @@
             }
             Kind::ListLate => drop(self.list.delays.insert(id, fault.size)),
             Kind::ListDrains => self.list_drains(victim, id, true),
-            Kind::LimiterKilled => self.kill(victim, id),
-            Kind::LimiterTerminated => self.terminate(victim, id),
-            Kind::LimiterPaused => self.pause(victim, id),
+            Kind::LimiterKilled => self.process_event(victim, ProcessEvent::Kill { fault: id }),
+            Kind::LimiterTerminated => {
+                self.process_event(victim, ProcessEvent::Terminate { fault: id });
+            }
+            Kind::LimiterPaused => self.process_event(victim, ProcessEvent::Pause { fault: id }),
             // Refused before anything is played: see `fits`.
             Kind::FileDamaged
             | Kind::FileMissing
@@ -131,7 +134,7 @@
         self.note(Event::Fault { id, on: false });
         match fault.kind.about().victim {
             Victim::Node => self.undo_node(victim, id),
-            Victim::Limiter => self.undo_limiter(victim, id),
+            Victim::Limiter => self.process_event(victim, ProcessEvent::Undo { fault: id }),
             _ => {}
         }
         self.keeper.counts.undo(id);
--- a/crates/model/src/nodes.rs
+++ b/crates/model/src/nodes.rs
@@ -1,7 +1,7 @@
 //! Nodes: cores and a line before them, cold starts that can be pushed over, drains, a memory of keys, and answers that
 //! stall or are rubbish.
 
-use crate::limiters::In;
+use crate::limiters::{AttemptEnd, In};
 use crate::links::End;
 use crate::list::Line;
 use crate::world::{Reply, What, World, EPOCH};
@@ -143,7 +143,7 @@
         if !attempt.closed {
             let (limiter, life) = (attempt.limiter, attempt.life);
             let wire = self.wires.wire();
-            let ended = In::Ended(key, Outcome::Reset, None, None, false);
+            let ended = In::Ended(key, AttemptEnd::failed(Outcome::Reset));
             self.queue.after(wire, What::News(limiter, life, ended));
         }
     }
@@ -380,7 +380,8 @@
         let busy = self.nodes[usize::from(node)].life.as_ref().map(|life| life.cores.share());
         self.attempt_over(key, reply.how);
         let busy = busy.filter(|_| reply.how != Over::Spoilt);
-        let ended = In::Ended(key, reply.outcome, reply.units, busy, reply.keeps);
+        let Reply { outcome, units, keeps, .. } = reply;
+        let ended = In::Ended(key, AttemptEnd { outcome, units, busy, keeps });
         let wire = self.wires.wire();
         self.queue.after(wire, What::News(limiter, life, ended));
     }
@@ -406,7 +407,7 @@
             self.note(Event::Probed { limiter });
         }
         let born = self.links.effect(limiter, End::Node(n)).born();
-        let news = In::Probed(n, stamp, outcome, busy);
+        let news = In::Probed { node: n, stamp, outcome, busy };
         self.cross(limiter, End::Node(n), born, What::News(limiter, life, news));
     }
 }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -3,7 +3,7 @@
 use crate::clients::{Door, Open};
 use crate::counts::{Call, Keeper};
 use crate::figures::{Draws, Figures};
-use crate::limiters::{Attempt, Gate, In};
+use crate::limiters::{Attempt, Gate, In, ProcessEvent};
 use crate::links::Links;
 use crate::list::List;
 use crate::nodes::Node;
@@ -170,8 +170,7 @@
         for n in 0..s.limiters.count {
             // Clients begin when all are ready.
             world.note(Event::Limiter { limiter: n as u16, what: Process::Started });
-            world.gates[n].life = 1;
-            world.up(n as u16, 1);
+            world.process_event(n as u16, ProcessEvent::Up { life: 1 });
         }
         for (n, fault) in schedule.faults.iter().enumerate() {
             if let Some(until) = fault.until {
@@ -224,7 +223,7 @@
             What::Silent(limiter, life) => self.list_silent(limiter, life),
             What::Begin(n) => self.begin(n),
             What::Undo(n) => self.undo(n),
-            What::Up(limiter, life) => self.up(limiter, life),
+            What::Up(limiter, life) => self.process_event(limiter, ProcessEvent::Up { life }),
             What::Withdraw(limiter, life) => self.withdraw(limiter, life),
             What::Finish(limiter, life) => self.finish(limiter, life),
         }
