Rehearsal: one switch for faults of keeper and authoriser; violations answer with Result

The rogue's new answers.rs repeated how a missing answer is passed on. Change: `standin/switch.rs` has FaultSwitch, which both stand-ins hold twice. In the rogue a reply is a Result of bytes or of why there are none, so `?` passes that on. Behaviour and tests are unchanged.

--- a/crates/rehearsal/src/standin/authoriser.rs
+++ b/crates/rehearsal/src/standin/authoriser.rs
@@ -1,6 +1,7 @@
 //! The stand-in authoriser: answers external authorisation over HTTP/2 whose frames it writes by hand, so that
 //! it can answer wrongly in ways that no library would.
 
+use super::switch::FaultSwitch;
 use crate::history::{Event, Recorder, Ruling};
 use crate::net::link::{serve, Link, Pipe, Reserved};
 use crate::scenario;
@@ -15,7 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::time::sleep;
 
 /// The most bytes of a question.
@@ -49,8 +50,6 @@
 
 #[derive(Default)]
 struct State {
-    silent: BTreeSet<u32>,
-    refusing: BTreeSet<u32>,
     slow: BTreeMap<u32, f64>,
     wrong: BTreeSet<u32>,
     leaving: BTreeSet<u32>,
@@ -63,8 +62,10 @@
     figures: scenario::Authoriser,
     recorder: Arc<Recorder>,
     state: Mutex<State>,
-    open: watch::Sender<bool>,
-    silent: watch::Sender<bool>,
+    /// Whether it takes connections.
+    open: FaultSwitch,
+    /// Whether it answers nothing.
+    silent: FaultSwitch,
 }
 
 /// What a question got, once its time has come.
@@ -93,8 +94,8 @@
             figures,
             recorder,
             state: Mutex::default(),
-            open: watch::Sender::new(true),
-            silent: watch::Sender::new(false),
+            open: FaultSwitch::new(true),
+            silent: FaultSwitch::new(false),
         })
     }
 
@@ -244,16 +245,12 @@
 
     /// A fault begins: it answers nothing.
     pub fn fall_silent(&self, fault: u32) {
-        let mut state = self.state();
-        state.silent.insert(fault);
-        self.silent.send_replace(true);
+        self.silent.begin(fault);
     }
 
     /// A fault begins: it refuses connections, and ends those that are open.
     pub fn refuse(&self, fault: u32) {
-        let mut state = self.state();
-        state.refusing.insert(fault);
-        self.open.send_replace(false);
+        self.open.begin(fault);
     }
 
     /// A fault begins: answers take so many milliseconds longer.
@@ -273,14 +270,12 @@
 
     /// What this fault did is over.
     pub fn undo(&self, fault: u32) {
+        self.silent.end(fault);
+        self.open.end(fault);
         let mut state = self.state();
-        state.silent.remove(&fault);
-        state.refusing.remove(&fault);
         state.slow.remove(&fault);
         state.wrong.remove(&fault);
         state.leaving.remove(&fault);
-        self.silent.send_replace(!state.silent.is_empty());
-        self.open.send_replace(state.refusing.is_empty());
     }
 }
 
--- a/crates/rehearsal/src/standin/keeper.rs
+++ b/crates/rehearsal/src/standin/keeper.rs
@@ -1,6 +1,7 @@
 //! The stand-in keeper: adds to named numbers, a call after the other, and forgets names when their life is
 //! over. It can fall silent, run slow, refuse connections, lose counts, or answer with old totals.
 
+use super::switch::FaultSwitch;
 use super::{parameter, Conn};
 use crate::counts::Counts;
 use crate::history::{Event, Recorder};
@@ -19,18 +20,14 @@
 const LONGEST_NAME: usize = 64;
 const LARGEST: f64 = 1e9;
 
-struct State {
-    counts: Counts,
-    silent: BTreeSet<u32>,
-    refusing: BTreeSet<u32>,
-}
-
 /// The keeper.
 pub struct Keeper {
     recorder: Arc<Recorder>,
-    state: Mutex<State>,
-    open: watch::Sender<bool>,
-    silent: watch::Sender<bool>,
+    counts: Mutex<Counts>,
+    /// Whether it takes connections.
+    open: FaultSwitch,
+    /// Whether it answers nothing.
+    silent: FaultSwitch,
     /// How often it was another process.
     swaps: watch::Sender<u64>,
 }
@@ -39,20 +36,16 @@
     /// One that works.
     pub fn new(figures: scenario::Keeper, recorder: Arc<Recorder>) -> Arc<Keeper> {
         Arc::new(Keeper {
-            state: Mutex::new(State {
-                counts: Counts::new(&figures),
-                silent: BTreeSet::new(),
-                refusing: BTreeSet::new(),
-            }),
+            counts: Mutex::new(Counts::new(&figures)),
             recorder,
-            open: watch::Sender::new(true),
-            silent: watch::Sender::new(false),
+            open: FaultSwitch::new(true),
+            silent: FaultSwitch::new(false),
             swaps: watch::Sender::new(0),
         })
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    fn counts(&self) -> MutexGuard<'_, Counts> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Listens for one limiter on an address of its own.
@@ -113,12 +106,12 @@
         let life = parameter(target, "keep_ms").and_then(|n| n.parse::<u64>().ok()).filter(|n| *n >= 1);
         let (Some(add), Some(life)) = (add, life) else { return answer("400 Bad Request", "", "") };
         let now = self.recorder.now();
-        let Some((turn, done)) = self.state().counts.turn(now) else {
+        let Some((turn, done)) = self.counts().turn(now) else {
             return answer("503 Service Unavailable", "", "");
         };
         sleep_until(self.recorder.instant(turn).into()).await;
         let (now, life) = (self.recorder.now(), life.saturating_mul(1_000));
-        let total = self.state().counts.add(limiter, now, name, add, life).to_string();
+        let total = self.counts().add(limiter, now, name, add, life).to_string();
         sleep_until(self.recorder.instant(done).into()).await;
         let _ = silent.wait_for(|silent| !*silent).await;
         answer("200 OK", "", &total)
@@ -126,41 +119,37 @@
 
     /// A fault begins: it answers nothing.
     pub fn fall_silent(&self, fault: u32) {
-        let mut state = self.state();
-        state.silent.insert(fault);
-        self.silent.send_replace(true);
+        self.silent.begin(fault);
     }
 
     /// A fault begins: it refuses connections.
     pub fn refuse(&self, fault: u32) {
-        let mut state = self.state();
-        state.refusing.insert(fault);
-        self.open.send_replace(false);
+        self.open.begin(fault);
     }
 
     /// A fault begins: calls take so many times as long.
     pub fn slow_down(&self, fault: u32, times: f64) {
-        self.state().counts.slow_down(fault, times);
+        self.counts().slow_down(fault, times);
     }
 
     /// A fault begins: totals stay as they are now. What is added meanwhile is kept.
     pub fn freeze(&self, fault: u32) {
-        self.state().counts.freeze(fault);
+        self.counts().freeze(fault);
     }
 
     /// A fault begins: what is added is added twice.
     pub fn double(&self, fault: u32) {
-        self.state().counts.double(fault);
+        self.counts().double(fault);
     }
 
     /// A fault begins: these limiters reach another keeper, which begins with this share of the names.
     pub fn split(&self, fault: u32, limiters: BTreeSet<u16>, share: f64, seed: u64) {
-        self.state().counts.split(fault, limiters, share, seed);
+        self.counts().split(fault, limiters, share, seed);
     }
 
     /// It loses this share of its names, which the seed picks.
     pub fn forget(&self, share: f64, seed: u64) {
-        self.state().counts.forget(share, seed);
+        self.counts().forget(share, seed);
     }
 
     /// Another process takes its place, with this share of its names.
@@ -171,12 +160,9 @@
 
     /// What this fault did is over.
     pub fn undo(&self, fault: u32) {
-        let mut state = self.state();
-        state.silent.remove(&fault);
-        state.refusing.remove(&fault);
-        state.counts.undo(fault);
-        self.silent.send_replace(!state.silent.is_empty());
-        self.open.send_replace(state.refusing.is_empty());
+        self.silent.end(fault);
+        self.open.end(fault);
+        self.counts().undo(fault);
     }
 }
 
--- a/crates/rehearsal/src/standin/mod.rs
+++ b/crates/rehearsal/src/standin/mod.rs
@@ -10,6 +10,7 @@
 pub mod platform;
 pub mod proxy;
 pub mod rogue;
+mod switch;
 
 use crate::net::link::Pipe;
 use crate::net::message::{take_request, Request};
--- a/crates/rehearsal/src/standin/rogue/answers.rs
+++ b/crates/rehearsal/src/standin/rogue/answers.rs
@@ -2,7 +2,7 @@
 
 use super::http::{call, closed, milliseconds};
 use super::record::Committed;
-use super::request::{Exchange, Reply, RequestInfo};
+use super::request::{Exchange, Reply, RequestInfo, Unanswered};
 use super::violation::Drawn;
 use super::{Rogue, ServedAnswer};
 use std::rc::Rc;
@@ -13,7 +13,7 @@
     /// Closes the connection of a request that was read.
     pub(super) fn no_answer(&self, info: &RequestInfo, violation: Drawn) -> Reply {
         self.record.commit(violation, info);
-        Reply::Close
+        Err(Unanswered::Closed)
     }
 
     /// Answers twice.
@@ -23,12 +23,9 @@
         info: &RequestInfo,
         violation: Drawn,
     ) -> Reply {
-        let answer = match self.limiter_answer(exchange).await {
-            Ok(answer) => answer.bytes(),
-            Err(reply) => return reply,
-        };
+        let answer = self.limiter_answer(exchange).await?.bytes();
         self.record.commit(violation, info);
-        Reply::Answer([answer.clone(), answer].concat())
+        Ok([answer.clone(), answer].concat())
     }
 
     /// Answers with the last answer that was made for another request.
@@ -38,21 +35,18 @@
         info: &RequestInfo,
         violation: Drawn,
     ) -> Reply {
-        let answer = match self.limiter_answer(exchange).await {
-            Ok(answer) => answer,
-            Err(reply) => return reply,
-        };
+        let answer = self.limiter_answer(exchange).await?;
         let bytes = answer.bytes();
         if answer.status != 200 {
-            return Reply::Answer(bytes);
+            return Ok(bytes);
         }
         let before = self.last_answer.replace(Some(ServedAnswer { id: info.id, answer }));
         match before.filter(|served| served.id != info.id) {
             Some(foreign) => {
                 self.record.commit(violation, info);
-                Reply::Answer(foreign.answer.bytes())
+                Ok(foreign.answer.bytes())
             }
-            None => Reply::Answer(bytes),
+            None => Ok(bytes),
         }
     }
 
@@ -63,17 +57,14 @@
         info: &RequestInfo,
         violation: Drawn,
     ) -> Reply {
-        let answer = match self.limiter_answer(exchange).await {
-            Ok(answer) => answer,
-            Err(reply) => return reply,
-        };
+        let answer = self.limiter_answer(exchange).await?;
         let due = info.deadline + milliseconds(violation.size);
         tokio::select! {
             () = sleep_until(due.into()) => {}
-            () = closed(exchange.client) => return Reply::ClientGone,
+            () = closed(exchange.client) => return Err(Unanswered::ClientGone),
         }
         self.record.commit(violation, info);
-        Reply::Answer(answer.bytes())
+        Ok(answer.bytes())
     }
 
     /// Sends the request to a server so long after it was answered.
@@ -83,10 +74,7 @@
         info: &RequestInfo,
         violation: Drawn,
     ) -> Reply {
-        let answer = match self.limiter_answer(exchange).await {
-            Ok(answer) => answer,
-            Err(reply) => return reply,
-        };
+        let answer = self.limiter_answer(exchange).await?;
         if let (200, Some(server)) = (answer.status, self.server()) {
             let (rogue, request) = (self.clone(), exchange.request.bytes());
             let committed = Committed::of(violation, info);
@@ -97,6 +85,6 @@
                 }
             });
         }
-        Reply::Answer(answer.bytes())
+        Ok(answer.bytes())
     }
 }
--- a/crates/rehearsal/src/standin/rogue/attempts.rs
+++ b/crates/rehearsal/src/standin/rogue/attempts.rs
@@ -47,7 +47,7 @@
         drop(first);
         let answer = read_answer(&mut second?).await;
         self.record.commit(Drawn { size: together, ..violation }, info);
-        answer.map(|answer| Reply::Answer(answer.bytes()))
+        answer.map(|answer| Ok(answer.bytes()))
     }
 
     /// Retries a request that must not run twice.
@@ -83,7 +83,7 @@
     ) -> Option<Reply> {
         self.first_attempt(exchange, info, Duration::ZERO).await?;
         self.record.commit(violation, info);
-        Some(Reply::Answer(refusal()))
+        Some(Ok(refusal()))
     }
 
     /// An attempt that is served, if time remains for a retry after a pause.
@@ -113,9 +113,9 @@
         match call(first.retry_server, &exchange.request.bytes()).await {
             Some(second) => {
                 self.record.commit(violation, info);
-                Reply::Answer(second.bytes())
+                Ok(second.bytes())
             }
-            None => Reply::Answer(first.answer.bytes()),
+            None => Ok(first.answer.bytes()),
         }
     }
 
@@ -134,6 +134,6 @@
         }
         let last = last?;
         self.record.commit(violation, info);
-        Some(Reply::Answer(last.bytes()))
+        Some(Ok(last.bytes()))
     }
 }
--- a/crates/rehearsal/src/standin/rogue/contents.rs
+++ b/crates/rehearsal/src/standin/rogue/contents.rs
@@ -22,7 +22,7 @@
         let altered = self.alter(exchange.request);
         let answer = call(self.server()?, &altered.bytes()).await?;
         self.record.commit(violation, info);
-        Some(Reply::Answer(answer.bytes()))
+        Some(Ok(answer.bytes()))
     }
 
     fn alter(&self, request: &Request) -> Request {
--- a/crates/rehearsal/src/standin/rogue/front.rs
+++ b/crates/rehearsal/src/standin/rogue/front.rs
@@ -2,7 +2,7 @@
 
 use super::http::{closed, read_answer, ANSWER_TIMEOUT};
 use super::record::Committed;
-use super::request::{Exchange, Reply, RequestInfo};
+use super::request::{Exchange, Reply, RequestInfo, Unanswered};
 use super::violation::{Drawn, Wrong};
 use super::{Rogue, ServedAnswer};
 use crate::net::message::{take_request, Answer, Request};
@@ -36,8 +36,8 @@
             self.open_requests.set(self.open_requests.get() - 1);
             let last = request.headers.get("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
             let goes_on = match reply {
-                Reply::Answer(bytes) => client.write_all(&bytes).await.is_ok() && !last,
-                Reply::Close | Reply::ClientGone => false,
+                Ok(bytes) => client.write_all(&bytes).await.is_ok() && !last,
+                Err(Unanswered::Closed | Unanswered::ClientGone) => false,
             };
             info.iter().for_each(|info| self.record_lateness(info));
             if !goes_on {
@@ -69,16 +69,15 @@
         }
     }
 
-    /// The limiter's own answer; what becomes of the request otherwise, where its client has gone or the limiter closed
-    /// the connection.
-    pub(super) async fn limiter_answer(&self, exchange: &mut Exchange<'_>) -> Result<Answer, Reply> {
+    /// The limiter's own answer.
+    pub(super) async fn limiter_answer(&self, exchange: &mut Exchange<'_>) -> Result<Answer, Unanswered> {
         let bytes = exchange.request.bytes();
         for _ in 0..LIMITER_ATTEMPTS {
             let pooled = exchange.limiter.take();
             let reused = pooled.is_some();
             let mut stream = match pooled {
                 Some(stream) => stream,
-                None => TcpStream::connect(self.limiter).await.map_err(|_| Reply::Close)?,
+                None => TcpStream::connect(self.limiter).await.map_err(|_| Unanswered::Closed)?,
             };
             let _ = stream.set_nodelay(true);
             if stream.write_all(&bytes).await.is_err() {
@@ -86,7 +85,7 @@
             }
             let answer = tokio::select! {
                 answer = read_answer(&mut stream) => answer,
-                () = closed(exchange.client) => return Err(Reply::ClientGone),
+                () = closed(exchange.client) => return Err(Unanswered::ClientGone),
             };
             match answer {
                 Some(answer) => {
@@ -94,10 +93,10 @@
                     return Ok(answer);
                 }
                 None if reused => {}
-                None => return Err(Reply::Close),
+                None => return Err(Unanswered::Closed),
             }
         }
-        Err(Reply::Close)
+        Err(Unanswered::Closed)
     }
 
     /// Passes a request to the limiter, and its answer to the client.
@@ -106,15 +105,11 @@
         exchange: &mut Exchange<'_>,
         info: Option<&RequestInfo>,
     ) -> Reply {
-        match self.limiter_answer(exchange).await {
-            Ok(answer) => {
-                if let (200, Some(info)) = (answer.status, info) {
-                    self.last_answer.replace(Some(ServedAnswer { id: info.id, answer: answer.clone() }));
-                }
-                Reply::Answer(answer.bytes())
-            }
-            Err(reply) => reply,
+        let answer = self.limiter_answer(exchange).await?;
+        if let (200, Some(info)) = (answer.status, info) {
+            self.last_answer.replace(Some(ServedAnswer { id: info.id, answer: answer.clone() }));
         }
+        Ok(answer.bytes())
     }
 
     /// Records a request whose client had no answer at its deadline, though nobody meant that: on a machine that is too
--- a/crates/rehearsal/src/standin/rogue/limits.rs
+++ b/crates/rehearsal/src/standin/rogue/limits.rs
@@ -125,10 +125,9 @@
         let reply = match (answer, server) {
             (Ok(answer), Some(server)) => {
                 let served = call_until(server, &exchange.request.bytes(), info.deadline).await;
-                Reply::Answer(served.unwrap_or(answer).bytes())
+                Ok(served.unwrap_or(answer).bytes())
             }
-            (Ok(answer), None) => Reply::Answer(answer.bytes()),
-            (Err(reply), _) => reply,
+            (answer, _) => answer.map(|answer| answer.bytes()),
         };
         self.partners.leave(info.customer);
         reply
--- a/crates/rehearsal/src/standin/rogue/request.rs
+++ b/crates/rehearsal/src/standin/rogue/request.rs
@@ -44,12 +44,13 @@
     pub limiter: &'a mut Option<TcpStream>,
 }
 
-/// What becomes of a request.
-pub(super) enum Reply {
-    /// These bytes are its answer.
-    Answer(Vec<u8>),
-    /// Its connection is closed without an answer.
-    Close,
-    /// Its client has closed the connection.
+/// The bytes that answer a request, or why there are none.
+pub(super) type Reply = Result<Vec<u8>, Unanswered>;
+
+/// Why a request is not answered. Its connection ends in each case.
+pub(super) enum Unanswered {
+    /// The rogue closes the connection, by intent or since the limiter has closed its own.
+    Closed,
+    /// The client has closed it.
     ClientGone,
 }
--- a/crates/rehearsal/src/standin/rogue/servers.rs
+++ b/crates/rehearsal/src/standin/rogue/servers.rs
@@ -112,7 +112,7 @@
         request.headers.set("x-inventory", stale.number.to_string());
         let answer = call(server?, &request.bytes()).await?;
         self.record.commit(Drawn { kind, size: excess }, info);
-        Some(Reply::Answer(answer.bytes()))
+        Some(Ok(answer.bytes()))
     }
 
     /// Sends what comes to a server that has just started, until it has had as many requests as are drawn for it.
@@ -131,6 +131,6 @@
         // request goes there after the other, as fast as they come.
         let answer = call_until(server.address, &exchange.request.bytes(), info.deadline).await?;
         let unprocessed = answer.status == 503 && answer.headers.get("x-unprocessed").is_some();
-        (!unprocessed).then(|| Reply::Answer(answer.bytes()))
+        (!unprocessed).then(|| Ok(answer.bytes()))
     }
 }
