Rehearsal: rename Wrong to Violation and read_lists to read_records

Need: the field says violation (design.md, "Terms"); the rogue's modules say so already. Change: the rename alone. The kinds' names, the options, the record's extension and format stay as they are. Tests change in the type's name only.

--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -9,7 +9,7 @@
 use liftrouter_rehearsal::scenario::{self, Scenario, KINDS};
 use liftrouter_rehearsal::schedule::{draw, seconds};
 use liftrouter_rehearsal::standin::{
-    authoriser::Authoriser, keeper::Keeper, list, list::List, nodes::Fleet, proxy, rogue, rogue::Wrong,
+    authoriser::Authoriser, keeper::Keeper, list, list::List, nodes::Fleet, proxy, rogue, rogue::Violation,
 };
 use liftrouter_rehearsal::{measure, measure_authz, measure_closes, measure_keeper, trial};
 use std::net::SocketAddr;
@@ -66,7 +66,7 @@
 struct TrialArgs {
     /// The kind of wrong; may be given more than once. All of them where it is left out.
     #[arg(long, value_enum)]
-    kind: Vec<Wrong>,
+    kind: Vec<Violation>,
     /// The kinds that are given are committed together.
     #[arg(long)]
     together: bool,
@@ -494,7 +494,7 @@
         None => daemon()?,
     };
     let exe = std::env::current_exe().map_err(|e| e.to_string())?;
-    let kinds = if t.kind.is_empty() { Wrong::ALL.to_vec() } else { t.kind };
+    let kinds = if t.kind.is_empty() { Violation::ALL.to_vec() } else { t.kind };
     let held = trial::Trial {
         exe: format!("'{}'", exe.display()),
         daemon,
--- a/crates/rehearsal/src/standin/rogue/front.rs
+++ b/crates/rehearsal/src/standin/rogue/front.rs
@@ -3,7 +3,7 @@
 use super::http::{closed, read_answer, ANSWER_TIMEOUT};
 use super::record::Committed;
 use super::request::{Exchange, Reply, RequestInfo, Unanswered};
-use super::violation::{Drawn, Wrong};
+use super::violation::{Drawn, Violation};
 use super::{Rogue, ServedAnswer};
 use crate::net::message::{take_request, Answer, Request};
 use std::rc::Rc;
@@ -117,7 +117,7 @@
     fn record_lateness(&self, info: &RequestInfo) {
         let late = (Instant::now() + self.turns.delay()).saturating_duration_since(info.deadline);
         if !late.is_zero() {
-            let violation = Drawn { kind: Wrong::LateAnswer, size: late.as_secs_f64() * 1e3 };
+            let violation = Drawn { kind: Violation::LateAnswer, size: late.as_secs_f64() * 1e3 };
             self.record.add(&Committed { unmeant: true, ..Committed::of(violation, info) });
         }
     }
--- a/crates/rehearsal/src/standin/rogue/grpc.rs
+++ b/crates/rehearsal/src/standin/rogue/grpc.rs
@@ -1,7 +1,7 @@
 //! The rogue's front for external authorisation: frames are passed on as they come, but for permissions that are given
 //! twice. Header lists are never touched, so what they say of each other stays right (RFC 7541, 2.3).
 
-use super::{Committed, Rogue, Wrong, BOUND};
+use super::{Committed, Rogue, Violation, BOUND};
 use liftrouter_authz::messages::envoy::service::auth::v3::check_response::HttpResponse;
 use liftrouter_authz::messages::envoy::service::auth::v3::{CheckRequest, CheckResponse};
 use liftrouter_authz::wire::{self, Frame};
@@ -114,7 +114,7 @@
             if let Some(question) = twice.filter(|_| frame.flags & wire::END_STREAM == 0) {
                 out.extend_from_slice(&bytes);
                 let (kind, id, customer) =
-                    (Wrong::PermissionTwice, Some(question.id), Some(question.customer));
+                    (Violation::PermissionTwice, Some(question.id), Some(question.customer));
                 rogue.record.add(&Committed::meant(kind, id, customer, 1.0));
             }
             out.extend(bytes);
--- a/crates/rehearsal/src/standin/rogue/limits.rs
+++ b/crates/rehearsal/src/standin/rogue/limits.rs
@@ -4,7 +4,7 @@
 use super::record::Committed;
 use super::request::{Exchange, Reply, RequestInfo};
 use super::settings::PlanLimits;
-use super::violation::{Drawn, Wrong};
+use super::violation::{Drawn, Violation};
 use super::Rogue;
 use crate::ledger::stores::Store;
 use crate::schedule::Micros;
@@ -28,7 +28,7 @@
 impl Partner {
     fn new(violation: Drawn, limits: PlanLimits) -> Partner {
         let PlanLimits { rate, burst } = limits;
-        let granted = if violation.kind == Wrong::Ceiling { rate * (1.0 + violation.size) } else { rate };
+        let granted = if violation.kind == Violation::Ceiling { rate * (1.0 + violation.size) } else { rate };
         Partner {
             violation,
             allowed: Store::new(rate, burst),
@@ -42,7 +42,7 @@
     /// Whether a refused request is let through.
     fn lets_through(&mut self, now: Micros, units: f64) -> bool {
         match self.violation.kind {
-            Wrong::Ceiling => self.granted.level(now) >= units,
+            Violation::Ceiling => self.granted.level(now) >= units,
             _ => f64::from(self.out) <= self.violation.size,
         }
     }
@@ -56,8 +56,8 @@
     fn committed(&self, customer: u64) -> Option<Committed> {
         let Drawn { kind, size } = self.violation;
         let size = match kind {
-            Wrong::Ceiling if self.lowest < 0.0 => size,
-            Wrong::AtOnce if self.most_out > 1 => f64::from(self.most_out),
+            Violation::Ceiling if self.lowest < 0.0 => size,
+            Violation::AtOnce if self.most_out > 1 => f64::from(self.most_out),
             _ => return None,
         };
         Some(Committed::meant(kind, None, Some(customer), size))
--- a/crates/rehearsal/src/standin/rogue/mod.rs
+++ b/crates/rehearsal/src/standin/rogue/mod.rs
@@ -20,8 +20,8 @@
 mod settings;
 mod violation;
 
-pub use record::{read_lists, Committed};
-pub use violation::{About, SizeRange, Wrong};
+pub use record::{read_records, Committed};
+pub use violation::{About, SizeRange, Violation};
 
 use self::discovery::{Discovery, ServerPair};
 use self::http::ANSWER_TIMEOUT;
@@ -55,7 +55,7 @@
 pub struct Options {
     /// What it does wrong; may be given twice. Nothing where it is left out.
     #[arg(long, value_enum)]
-    pub kind: Vec<Wrong>,
+    pub kind: Vec<Violation>,
     /// Closes connections of clients that have been idle for so many milliseconds, which is no wrong.
     #[arg(long)]
     pub idle_ms: Option<u64>,
--- a/crates/rehearsal/src/standin/rogue/record.rs
+++ b/crates/rehearsal/src/standin/rogue/record.rs
@@ -1,7 +1,7 @@
 //! The record of committed violations: one JSON object a line, in a file that the checker never sees.
 
 use super::request::RequestInfo;
-use super::violation::{Drawn, Wrong};
+use super::violation::{Drawn, Violation};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::cell::RefCell;
@@ -12,11 +12,11 @@
 /// The extension of the files that hold a rogue's record.
 const EXTENSION: &str = "wrongs";
 
-/// A wrong that was committed.
+/// A violation that was committed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Committed {
     /// What.
-    pub kind: Wrong,
+    pub kind: Violation,
     /// The try, where it was done to one.
     pub id: Option<u64>,
     /// The customer, as in the path, where it was done for one.
@@ -30,7 +30,7 @@
 
 impl Committed {
     /// One that was done on purpose.
-    pub fn meant(kind: Wrong, id: Option<u64>, customer: Option<u64>, size: f64) -> Committed {
+    pub fn meant(kind: Violation, id: Option<u64>, customer: Option<u64>, size: f64) -> Committed {
         Committed { kind, id, customer, size, unmeant: false }
     }
 
@@ -69,7 +69,7 @@
 ///
 /// # Errors
 /// A file cannot be read, or a line of it is no committed violation.
-pub fn read_lists(folder: &Path) -> Result<Vec<Committed>, String> {
+pub fn read_records(folder: &Path) -> Result<Vec<Committed>, String> {
     let mut all = Vec::new();
     let entries = std::fs::read_dir(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
     let mut paths: Vec<_> = entries.filter_map(|e| Some(e.ok()?.path())).collect();
--- a/crates/rehearsal/src/standin/rogue/servers.rs
+++ b/crates/rehearsal/src/standin/rogue/servers.rs
@@ -4,7 +4,7 @@
 use super::http::{call, call_until, read_answer, write_request};
 use super::record::Committed;
 use super::request::{Exchange, Reply, RequestInfo};
-use super::violation::{Drawn, Wrong};
+use super::violation::{Drawn, Violation};
 use super::Rogue;
 use crate::ledger::VERSION_GRACE;
 use std::cell::RefCell;
@@ -63,15 +63,15 @@
 impl Push {
     fn violation(&self) -> Option<Committed> {
         let size = f64::from(self.sent);
-        (size >= Wrong::ColdPush.about().sizes.least)
-            .then(|| Committed::meant(Wrong::ColdPush, None, None, size))
+        (size >= Violation::ColdPush.about().sizes.least)
+            .then(|| Committed::meant(Violation::ColdPush, None, None, size))
     }
 }
 
 /// How many requests a server is to get: all limiters push it alike, since their sum counts.
 fn push_size(seed: u64, id: &str) -> u32 {
     let seed = id.bytes().fold(seed, |hash, byte| hash.wrapping_mul(31) ^ u64::from(byte));
-    Wrong::ColdPush.about().sizes.draw(&mut fastrand::Rng::with_seed(seed)) as u32
+    Violation::ColdPush.about().sizes.draw(&mut fastrand::Rng::with_seed(seed)) as u32
 }
 
 impl Rogue {
@@ -80,7 +80,7 @@
         &self,
         exchange: &Exchange<'_>,
         info: &RequestInfo,
-        kind: Wrong,
+        kind: Violation,
     ) -> Option<Reply> {
         let server = self.discovery.draining_server()?;
         let excess = server.elapsed.as_secs_f64() * 1e3 - DRAIN_GRACE_MS;
@@ -99,7 +99,7 @@
         &self,
         exchange: &Exchange<'_>,
         info: &RequestInfo,
-        kind: Wrong,
+        kind: Violation,
     ) -> Option<Reply> {
         let stale = self.discovery.stale_revision();
         let server = self.server();
--- a/crates/rehearsal/src/standin/rogue/violation.rs
+++ b/crates/rehearsal/src/standin/rogue/violation.rs
@@ -4,10 +4,10 @@
 use clap::ValueEnum;
 use serde::{Deserialize, Serialize};
 
-/// What the rogue does wrong.
+/// A kind of violation that the rogue commits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ValueEnum, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum Wrong {
+pub enum Violation {
     /// Reads a request and ends its connection.
     NoAnswer,
     /// Answers it twice.
@@ -69,7 +69,7 @@
     }
 }
 
-/// What is known of a kind of wrong.
+/// What is known of a kind of violation.
 pub struct About {
     /// The rules that it breaks.
     pub rules: &'static [u8],
@@ -92,27 +92,27 @@
     }
 }
 
-impl Wrong {
+impl Violation {
     /// Every kind.
-    pub const ALL: [Wrong; 18] = [
-        Wrong::NoAnswer,
-        Wrong::TwoAnswers,
-        Wrong::ForeignAnswer,
-        Wrong::LateAnswer,
-        Wrong::AfterAnswer,
-        Wrong::Twice,
-        Wrong::ResendUnsafe,
-        Wrong::ResendKey,
-        Wrong::TooMany,
-        Wrong::RefusedAfterRun,
-        Wrong::Altered,
-        Wrong::Invented,
-        Wrong::Drained,
-        Wrong::ColdPush,
-        Wrong::Ceiling,
-        Wrong::AtOnce,
-        Wrong::PermissionTwice,
-        Wrong::ListVersion,
+    pub const ALL: [Violation; 18] = [
+        Violation::NoAnswer,
+        Violation::TwoAnswers,
+        Violation::ForeignAnswer,
+        Violation::LateAnswer,
+        Violation::AfterAnswer,
+        Violation::Twice,
+        Violation::ResendUnsafe,
+        Violation::ResendKey,
+        Violation::TooMany,
+        Violation::RefusedAfterRun,
+        Violation::Altered,
+        Violation::Invented,
+        Violation::Drained,
+        Violation::ColdPush,
+        Violation::Ceiling,
+        Violation::AtOnce,
+        Violation::PermissionTwice,
+        Violation::ListVersion,
     ];
 
     /// Its name on command lines and in tables.
@@ -123,38 +123,42 @@
     /// What is known of it.
     pub fn about(self) -> About {
         match self {
-            Wrong::NoAnswer | Wrong::TwoAnswers | Wrong::ForeignAnswer => About::of_one_size(&[1]),
+            Violation::NoAnswer | Violation::TwoAnswers | Violation::ForeignAnswer => {
+                About::of_one_size(&[1])
+            }
             // The grace for answers and that of sockets, and some milliseconds by which the kit itself may be late: what
             // lies within those is a doubt.
-            Wrong::LateAnswer => About::in_milliseconds(&[1], SizeRange::new(10.0, 900.0), 70.0),
-            Wrong::AfterAnswer => About::in_milliseconds(&[1], SizeRange::new(10.0, 1_000.0), 65.0),
+            Violation::LateAnswer => About::in_milliseconds(&[1], SizeRange::new(10.0, 900.0), 70.0),
+            Violation::AfterAnswer => About::in_milliseconds(&[1], SizeRange::new(10.0, 1_000.0), 65.0),
             // The kit looks at the first one's socket when it comes to read the second.
-            Wrong::Twice => About::in_milliseconds(&[2], SizeRange::new(1.0, 100.0), 5.0),
-            Wrong::ResendUnsafe | Wrong::TooMany | Wrong::RefusedAfterRun => About::of_one_size(&[2]),
-            Wrong::ResendKey => About::in_milliseconds(&[2], SizeRange::new(10.0, 1_000.0), 65.0),
-            Wrong::Altered | Wrong::Invented | Wrong::PermissionTwice => About::of_one_size(&[1]),
-            Wrong::Drained => About::in_milliseconds(&[3], SizeRange::new(1.0, 5_000.0), 65.0),
+            Violation::Twice => About::in_milliseconds(&[2], SizeRange::new(1.0, 100.0), 5.0),
+            Violation::ResendUnsafe | Violation::TooMany | Violation::RefusedAfterRun => {
+                About::of_one_size(&[2])
+            }
+            Violation::ResendKey => About::in_milliseconds(&[2], SizeRange::new(10.0, 1_000.0), 65.0),
+            Violation::Altered | Violation::Invented | Violation::PermissionTwice => About::of_one_size(&[1]),
+            Violation::Drained => About::in_milliseconds(&[3], SizeRange::new(1.0, 5_000.0), 65.0),
             // Of each limiter; the scenario has two, and the node is pushed over by some forty-five within two seconds.
-            Wrong::ColdPush => {
+            Violation::ColdPush => {
                 About { rules: &[4], sizes: SizeRange::new(10.0, 100.0), from: 35.0, unit: "requests" }
             }
-            Wrong::Ceiling => {
+            Violation::Ceiling => {
                 About { rules: &[5], sizes: SizeRange::new(0.01, 1.0), from: 0.5, unit: "of the rate" }
             }
             // The cap of 1 and one for the kit are allowed; what waits at the limiter counts as out here.
-            Wrong::AtOnce => {
+            Violation::AtOnce => {
                 About { rules: &[5], sizes: SizeRange::new(3.0, 12.0), from: 4.0, unit: "attempts" }
             }
             // A file that is written in two halves is there 40 ms after the list knows of it.
-            Wrong::ListVersion => About::in_milliseconds(&[3], SizeRange::new(1.0, 5_000.0), 100.0),
+            Violation::ListVersion => About::in_milliseconds(&[3], SizeRange::new(1.0, 5_000.0), 100.0),
         }
     }
 
     /// What a scenario must have, so that it can be committed.
     pub fn prepare(self, scenario: &mut Scenario) {
         match self {
-            Wrong::PermissionTwice => scenario.load.permissions = scenario.load.permissions.max(0.4),
-            Wrong::ListVersion if scenario.list.through == Through::Discovery => {
+            Violation::PermissionTwice => scenario.load.permissions = scenario.load.permissions.max(0.4),
+            Violation::ListVersion if scenario.list.through == Through::Discovery => {
                 scenario.list.through = Through::Csv;
             }
             _ => {}
@@ -166,7 +170,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Drawn {
     /// Its kind.
-    pub kind: Wrong,
+    pub kind: Violation,
     /// Its size; the unit goes with the kind.
     pub size: f64,
 }
--- a/crates/rehearsal/src/trial.rs
+++ b/crates/rehearsal/src/trial.rs
@@ -4,7 +4,7 @@
 use crate::ledger::{Break, Verdict};
 use crate::rehearsal::{rehearse, scratch, Options};
 use crate::scenario::Scenario;
-use crate::standin::rogue::{read_lists, Committed, Wrong};
+use crate::standin::rogue::{read_records, Committed, Violation};
 use serde::Serialize;
 use std::fmt::Write as _;
 use std::io;
@@ -17,7 +17,7 @@
 /// And so many at least, to say so.
 const ENOUGH: usize = 10;
 
-/// How one kind of wrong fared.
+/// How one kind of violation fared.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Row {
     /// The kind, or two of them.
@@ -32,9 +32,9 @@
     pub due: usize,
     /// Those that were accused.
     pub accused: usize,
-    /// All accusations, and those that name a wrong that was committed.
+    /// All accusations, and those that name a violation that was committed.
     pub accusations: usize,
-    /// Those that name a wrong that was committed.
+    /// Those that name a violation that was committed.
     pub named: usize,
     /// The smallest size from which on 95 of 100 wrongs were accused; none where there is none, or too few.
     pub smallest: Option<f64>,
@@ -60,7 +60,7 @@
         }
     }
 
-    /// Accusations that name a wrong that was committed.
+    /// Accusations that name a violation that was committed.
     pub fn precision(&self) -> f64 {
         if self.accusations == 0 {
             1.0
@@ -70,48 +70,48 @@
     }
 }
 
-/// Whether an accusation names the request that a wrong was done to.
-fn names_request(b: &Break, wrong: &Committed) -> bool {
-    wrong.id.is_some_and(|id| b.request.as_deref() == Some(&format!("{id:016x}")))
+/// Whether an accusation names the request that a violation was done to.
+fn names_request(b: &Break, violation: &Committed) -> bool {
+    violation.id.is_some_and(|id| b.request.as_deref() == Some(&format!("{id:016x}")))
 }
 
-/// Whether it is of the limits of the partner for whom a wrong was done.
-fn of_customer(b: &Break, wrong: &Committed) -> bool {
-    b.rule == 5 && wrong.customer.is_some_and(|c| b.what.contains(&format!("customer {c:016x}")))
+/// Whether it is of the limits of the partner for whom a violation was done.
+fn of_customer(b: &Break, violation: &Committed) -> bool {
+    b.rule == 5 && violation.customer.is_some_and(|c| b.what.contains(&format!("customer {c:016x}")))
 }
 
-/// Whether an accusation is of this wrong.
-fn accuses(b: &Break, wrong: &Committed) -> bool {
-    match wrong.kind {
-        Wrong::ColdPush => b.rule == 4,
-        Wrong::Ceiling | Wrong::AtOnce => of_customer(b, wrong),
-        kind => names_request(b, wrong) && kind.about().rules.contains(&b.rule),
+/// Whether an accusation is of this violation.
+fn accuses(b: &Break, violation: &Committed) -> bool {
+    match violation.kind {
+        Violation::ColdPush => b.rule == 4,
+        Violation::Ceiling | Violation::AtOnce => of_customer(b, violation),
+        kind => names_request(b, violation) && kind.about().rules.contains(&b.rule),
     }
 }
 
-/// Whether an accusation follows from this wrong, be it by another rule: a second attempt draws units too, and what a rogue
-/// sends by itself its limiter does not count against the partner's quota.
-fn follows(b: &Break, wrong: &Committed) -> bool {
-    names_request(b, wrong) || accuses(b, wrong) || of_customer(b, wrong)
+/// Whether an accusation follows from this violation, be it by another rule: a second attempt draws units too, and what a
+/// rogue sends by itself its limiter does not count against the partner's quota.
+fn follows(b: &Break, violation: &Committed) -> bool {
+    names_request(b, violation) || accuses(b, violation) || of_customer(b, violation)
 }
 
 /// Enters what one play came to.
 pub fn enter(row: &mut Row, committed: &[Committed], breaks: &[Break]) {
-    for wrong in committed.iter().filter(|wrong| !wrong.unmeant) {
+    for violation in committed.iter().filter(|violation| !violation.unmeant) {
         row.committed += 1;
-        let found = breaks.iter().any(|b| accuses(b, wrong));
-        row.sizes.push((wrong.size, found));
-        if wrong.size >= wrong.kind.about().from {
+        let found = breaks.iter().any(|b| accuses(b, violation));
+        row.sizes.push((violation.size, found));
+        if violation.size >= violation.kind.about().from {
             row.due += 1;
             row.accused += usize::from(found);
             if !found && row.overlooked.len() < 3 {
-                row.overlooked.push(format!("overlooked: {wrong:?}"));
+                row.overlooked.push(format!("overlooked: {violation:?}"));
             }
         }
     }
     row.accusations += breaks.len();
     for b in breaks {
-        let named = committed.iter().any(|wrong| follows(b, wrong));
+        let named = committed.iter().any(|violation| follows(b, violation));
         row.named += usize::from(named);
         if !named && row.unfounded.len() < 3 {
             row.unfounded.push(format!("accused of nothing: rule {}, {:?}, {}", b.rule, b.request, b.what));
@@ -141,7 +141,7 @@
     /// The scenario that is played.
     pub scenario: Scenario,
     /// Kinds, each alone or two together.
-    pub kinds: Vec<Vec<Wrong>>,
+    pub kinds: Vec<Vec<Violation>>,
     /// Seeds of each.
     pub seeds: std::ops::RangeInclusive<u64>,
     /// Plays at a time.
@@ -154,8 +154,8 @@
     /// # Errors
     /// A play cannot be set up, or a list cannot be read.
     pub async fn hold(&self) -> io::Result<Vec<Row>> {
-        let name = |kinds: &[Wrong]| kinds.iter().map(|k| k.name()).collect::<Vec<_>>().join(" and ");
-        let row = |kinds: &Vec<Wrong>| {
+        let name = |kinds: &[Violation]| kinds.iter().map(|k| k.name()).collect::<Vec<_>>().join(" and ");
+        let row = |kinds: &Vec<Violation>| {
             let unit = kinds.first().map_or("", |k| k.about().unit).to_string();
             Row { kind: name(kinds), unit, ..Row::default() }
         };
@@ -190,7 +190,7 @@
         Ok(rows)
     }
 
-    fn command(&self, kinds: &[Wrong], seed: u64) -> String {
+    fn command(&self, kinds: &[Violation], seed: u64) -> String {
         let kinds: Vec<_> = kinds.iter().map(|k| format!("--kind {}", k.name())).collect();
         format!("{} stand-in rogue {} --seed {seed} --limiter \"{}\"", self.exe, kinds.join(" "), self.daemon)
     }
@@ -205,7 +205,7 @@
     let commands = vec![command];
     let options = Options { seed, commands, folder: folder.clone(), trouble: Arc::default(), interrupted };
     let outcome = rehearse(scenario, options, None, |_| {}).await;
-    let committed = read_lists(&folder);
+    let committed = read_records(&folder);
     let _ = std::fs::remove_dir_all(&folder);
     let judgement = outcome?.judgement;
     // A run with breaks is broken, whatever else is said of it; one that is merely in doubt has found what it found.
@@ -288,7 +288,7 @@
 mod tests {
     use super::*;
 
-    fn wrong(kind: Wrong, id: u64, size: f64) -> Committed {
+    fn wrong(kind: Violation, id: u64, size: f64) -> Committed {
         Committed::meant(kind, Some(id), Some(7), size)
     }
 
@@ -300,9 +300,9 @@
     fn recall_counts_what_tolerances_do_not_cover_and_precision_what_was_not_done() {
         let mut row = Row::default();
         let committed = [
-            wrong(Wrong::LateAnswer, 1, 20.0),
-            wrong(Wrong::LateAnswer, 2, 200.0),
-            wrong(Wrong::LateAnswer, 3, 300.0),
+            wrong(Violation::LateAnswer, 1, 20.0),
+            wrong(Violation::LateAnswer, 2, 200.0),
+            wrong(Violation::LateAnswer, 3, 300.0),
         ];
         let breaks =
             [accusation(1, 2, "late"), accusation(2, 9, "nothing"), accusation(2, 3, "by another rule")];
@@ -314,7 +314,7 @@
 
     #[test]
     fn an_answer_that_the_machine_made_late_is_rightly_accused_and_need_not_be_found() {
-        let busy = |id| Committed { unmeant: true, ..wrong(Wrong::LateAnswer, id, 90.0) };
+        let busy = |id| Committed { unmeant: true, ..wrong(Violation::LateAnswer, id, 90.0) };
         let (mut row, mut without) = (Row::default(), Row::default());
         enter(&mut row, &[busy(1), busy(2)], &[accusation(1, 2, "late")]);
         assert_eq!((row.committed, row.due, row.accusations, row.named), (0, 0, 1, 1));
@@ -324,11 +324,11 @@
 
     #[test]
     fn wrongs_of_partners_and_nodes_are_known_by_those() {
-        let ceiling = Committed::meant(Wrong::Ceiling, None, Some(0x2a), 1.0);
+        let ceiling = Committed::meant(Violation::Ceiling, None, Some(0x2a), 1.0);
         let said = accusation(5, 8, "customer 000000000000002a is 9 units beyond its ceiling");
         assert!(accuses(&said, &ceiling));
         assert!(!accuses(&accusation(5, 8, "customer 000000000000002b is beyond"), &ceiling));
-        let cold = Committed::meant(Wrong::ColdPush, None, None, 100.0);
+        let cold = Committed::meant(Violation::ColdPush, None, None, 100.0);
         assert!(accuses(&accusation(4, 8, "cold s-1"), &cold) && !accuses(&said, &cold));
     }
 
--- a/crates/rehearsal/tests/trial.rs
+++ b/crates/rehearsal/tests/trial.rs
@@ -5,7 +5,7 @@
 use liftrouter_rehearsal::ledger::Verdict;
 use liftrouter_rehearsal::rehearsal::{rehearse, scratch, Options};
 use liftrouter_rehearsal::scenario::Scenario;
-use liftrouter_rehearsal::standin::rogue::Wrong;
+use liftrouter_rehearsal::standin::rogue::Violation;
 use liftrouter_rehearsal::trial::{fits, Trial};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -27,7 +27,8 @@
 }
 
 /// Kinds that strike a node or a partner rather than a request.
-const WHOLE: [Wrong; 4] = [Wrong::Drained, Wrong::ColdPush, Wrong::Ceiling, Wrong::AtOnce];
+const WHOLE: [Violation; 4] =
+    [Violation::Drained, Violation::ColdPush, Violation::Ceiling, Violation::AtOnce];
 
 fn short() -> Scenario {
     let mut scenario = Scenario::read(&root().join("scenarios/trial.toml")).expect("it can be played");
@@ -42,7 +43,7 @@
 }
 
 /// Each kind is found wherever it is larger than the judge's tolerances, and nothing else is accused.
-fn tried(kinds: Vec<Vec<Wrong>>) {
+fn tried(kinds: Vec<Vec<Violation>>) {
     let _alone = alone();
     let trial = Trial {
         exe: format!("'{}'", env!("CARGO_BIN_EXE_liftrouter-rehearse")),
@@ -69,7 +70,7 @@
 /// Wrongs done to single requests.
 #[test]
 fn every_kind_of_wrong_done_to_a_request_is_found_and_nothing_else_is_accused() {
-    tried(Wrong::ALL.iter().filter(|kind| !WHOLE.contains(kind)).map(|kind| vec![*kind]).collect());
+    tried(Violation::ALL.iter().filter(|kind| !WHOLE.contains(kind)).map(|kind| vec![*kind]).collect());
 }
 
 /// Wrongs done to nodes and partners.
@@ -80,7 +81,10 @@
 
 #[test]
 fn two_kinds_together_are_told_apart() {
-    tried(vec![vec![Wrong::NoAnswer, Wrong::Twice], vec![Wrong::LateAnswer, Wrong::ResendUnsafe]]);
+    tried(vec![
+        vec![Violation::NoAnswer, Violation::Twice],
+        vec![Violation::LateAnswer, Violation::ResendUnsafe],
+    ]);
 }
 
 /// Before a front that closes its clients' connections after 50 ms of idleness, many requests cross a close.
