--- a/crates/rehearsal/src/standin/rogue/grpc.rs
+++ b/crates/rehearsal/src/standin/rogue/grpc.rs
@@ -1,7 +1,7 @@
 //! The rogue's front for external authorisation: frames are passed on as they come, but for permissions that are given
 //! twice. Header lists are never touched, so what they say of each other stays right (RFC 7541, 2.3).
 
-use super::{Committed, Rogue, Wrong, BOUND};
+use super::{Committed, Rogue, Violation, BOUND};
 use liftrouter_authz::messages::envoy::service::auth::v3::check_response::HttpResponse;
 use liftrouter_authz::messages::envoy::service::auth::v3::{CheckRequest, CheckResponse};
 use liftrouter_authz::wire::{self, Frame};
@@ -109,12 +109,13 @@
                 wire::DATA if !frame.payload.is_empty() => asked.borrow_mut().remove(&frame.stream),
                 _ => None,
             };
-            let twice = question.filter(|q| !q.bound && permits(&frame.payload) && rogue.draws());
+            let twice =
+                question.filter(|q| !q.bound && permits(&frame.payload) && rogue.draws_permission_twice());
             if let Some(question) = twice.filter(|_| frame.flags & wire::END_STREAM == 0) {
                 out.extend_from_slice(&bytes);
                 let (kind, id, customer) =
-                    (Wrong::PermissionTwice, Some(question.id), Some(question.customer));
-                rogue.note(Committed::meant(kind, id, customer, 1.0));
+                    (Violation::PermissionTwice, Some(question.id), Some(question.customer));
+                rogue.record.add(&Committed::meant(kind, id, customer, 1.0));
             }
             out.extend(bytes);
         }
