--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 pub mod asked;
 pub mod grpc;
+pub mod relays;
 
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
