Tests of relays with real processes

Services and filters, deltas and whole lists, heartbeats and digests, failover in a burst, relays that stand still or hold an older list, lost messages, many children and one that never reads, an outage of discovery, and the way without relays.

--- /dev/null
+++ b/crates/daemon/tests/relays.rs
@@ -0,0 +1,550 @@
+//! The list of servers through a tree of real relays: who is told what, failover, repair, and staleness.
+mod common;
+
+use common::asked::TimedServer;
+use common::relays::*;
+use common::*;
+use liftrouter_catalog::{Instance, Update};
+use liftrouter_discovery::SILENCE_RELAYED;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A change is in force everywhere within this time.
+const IN_FORCE: Duration = Duration::from_secs(8);
+/// A request may come to a server so long after its drain counts as told.
+const GRACE: Duration = Duration::from_millis(250);
+/// A limiter without a list waits so long for one before it goes by its configuration.
+const FIRST_LIST: Duration = Duration::from_millis(8_500);
+/// Longer than a list from relays is good for.
+const OUTAGE: Duration = Duration::from_secs(9);
+/// Heartbeats of a discovery that the test need not wait long for.
+const FAST_HEARTBEAT: Duration = Duration::from_millis(100);
+/// Each so many heartbeats one carries a digest.
+const DIGEST_EVERY: usize = 5;
+/// Revisions that come one after the other while a relay is lost.
+const BURST: u64 = 100;
+/// The revision of the burst at which a server begins to drain, and the one at which the relay is killed.
+const DRAIN_AT: u64 = 30;
+const KILL_AT: u64 = 50;
+/// Changes of a service that a child does not follow.
+const FOREIGN_CHANGES: u32 = 100;
+/// The pause between two revisions of a burst.
+const BURST_PAUSE: Duration = Duration::from_millis(10);
+
+/// Discovery, the root, and two zone relays behind proxies that note the calls of limiters.
+struct Tree {
+    discovery: ServiceDiscovery,
+    root: Relay,
+    zones: [Relay; 2],
+    proxies: [WatchProxy; 2],
+}
+
+impl Tree {
+    fn new(discovery: ServiceDiscovery) -> Tree {
+        let root = Relay::root(&discovery);
+        let zones = [1, 2].map(|seed| Relay::zone(&[root.address], seed));
+        let proxies = [WatchProxy::new(zones[0].address), WatchProxy::new(zones[1].address)];
+        Tree { discovery, root, zones, proxies }
+    }
+
+    fn of(servers: &[Instance]) -> Tree {
+        Tree::new(ServiceDiscovery::new(servers))
+    }
+
+    /// Where limiters call.
+    fn fronts(&self) -> [SocketAddr; 2] {
+        [self.proxies[0].address, self.proxies[1].address]
+    }
+
+    fn limiter(&self, services: &[&str]) -> FollowingLimiter {
+        FollowingLimiter::start(&self.fronts(), services)
+    }
+
+    /// The one zone that limiters have called; the other one has not been.
+    fn zone_in_use(&self) -> usize {
+        let called: Vec<usize> = (0..2).filter(|zone| !self.proxies[*zone].targets().is_empty()).collect();
+        assert_eq!(called.len(), 1, "one relay carries the limiter");
+        called[0]
+    }
+}
+
+fn ids(update: &Update) -> Vec<&str> {
+    update.instances.iter().map(|instance| instance.instance_id.as_str()).collect()
+}
+
+#[test]
+fn a_limiter_sends_to_the_servers_of_its_services_alone() {
+    let (own, foreign) = (TimedServer::new("own"), TimedServer::new("foreign"));
+    let foreign_instance = server("s-foreign", "service-2", foreign.fake.address);
+    let tree = Tree::of(&[server("s-own", "service-1", own.fake.address), foreign_instance.clone()]);
+    let limiter = tree.limiter(&["service-1"]);
+    let child = RawChild::follow(tree.zones[0].address, None, &["service-1"]);
+    let other_child = RawChild::follow(tree.zones[0].address, None, &["service-2"]);
+    let load = Load::on(&limiter);
+    for step in 1..=20 {
+        let generation = tree.discovery.put(weighted(&foreign_instance, 1.0 + f64::from(step)));
+        other_child.wait_for(generation);
+    }
+    wait_until("requests were served", || load.statuses().len() >= 100);
+    drop(load);
+    assert_eq!(foreign.arrivals().len(), 0);
+    assert!(own.arrivals().len() >= 100);
+    assert_eq!(child.ids(), ["s-own"]);
+    let told: Vec<String> = child
+        .received()
+        .iter()
+        .flat_map(|r| r.ids().into_iter().map(str::to_string).collect::<Vec<_>>())
+        .collect();
+    assert_eq!(told, ["s-own"], "it is told of its own server, once");
+    assert_eq!(limiter.discovery.accepted(), 0, "discovery is not asked");
+}
+
+/// A child whose services are quiet gets the signs of life that are due by the clock, however many changes there are.
+#[test]
+fn a_change_of_another_service_costs_a_child_no_message() {
+    let own = unreachable_server("s-own", "service-1");
+    let foreign = unreachable_server("s-foreign", "service-2");
+    let tree = Tree::of(&[own.clone(), foreign.clone()]);
+    let child = RawChild::follow(tree.zones[0].address, None, &["service-1"]);
+    let other_child = RawChild::follow(tree.zones[0].address, None, &["service-2"]);
+    // What is under way comes before this change.
+    child.wait_for(tree.discovery.put(weighted(&own, 2.0)));
+    let (before, began) = (child.received().len(), Instant::now());
+    for step in 1..=FOREIGN_CHANGES {
+        let generation = tree.discovery.put(weighted(&foreign, 1.0 + f64::from(step)));
+        other_child.wait_for(generation);
+    }
+    let heartbeats_due = 1 + (began.elapsed().as_secs_f64() / HEARTBEAT.as_secs_f64()) as usize;
+    let later: Vec<Received> = child.received().split_off(before);
+    assert!(later.iter().all(|received| received.ids().is_empty()), "{later:?}");
+    let count = later.len();
+    assert!(
+        count <= heartbeats_due,
+        "{count} messages for {FOREIGN_CHANGES} changes of another service, expected {heartbeats_due} at most"
+    );
+}
+
+/// Discovery writes no empty lines while it tells changes. All the same no child may take its relay for dead.
+#[test]
+fn a_child_whose_services_are_quiet_hears_signs_of_life_while_others_change() {
+    let foreign = unreachable_server("s-foreign", "service-2");
+    let tree = Tree::of(&[unreachable_server("s-own", "service-1"), foreign.clone()]);
+    let child = RawChild::follow(tree.zones[0].address, None, &["service-1"]);
+    let began = Instant::now();
+    let mut step = 1.0;
+    while began.elapsed() < OUTAGE {
+        step += 1.0;
+        tree.discovery.put(weighted(&foreign, step));
+        thread::sleep(BURST_PAUSE);
+    }
+    let ended = Instant::now();
+    let moments: Vec<Instant> = child.received().iter().map(|r| r.at).chain([ended]).collect();
+    let longest = moments.windows(2).map(|pair| pair[1] - pair[0]).max().expect("signs of life");
+    assert!(longest < SILENCE_RELAYED, "the child heard nothing for {longest:?}");
+    assert!(!child.has_ended());
+}
+
+#[test]
+fn a_child_gets_what_it_lacks() {
+    let own = unreachable_server("s-1", "service-1");
+    let still = unreachable_server("s-2", "service-1");
+    let tree = Tree::of(&[own.clone(), still, unreachable_server("s-3", "service-2")]);
+    let zone = tree.zones[0].address;
+    let follower = RawChild::follow(zone, None, &["service-1"]);
+    let first_change = tree.discovery.put(weighted(&own, 2.0));
+    follower.wait_for(first_change);
+    let second_change = tree.discovery.put(weighted(&own, 3.0));
+    follower.wait_for(second_change);
+
+    let delta = RawChild::follow(zone, Some(first_change), &["service-1"]).first();
+    assert_eq!((delta.reset, delta.generation, ids(&delta)), (false, second_change, vec!["s-1"]));
+    let nothing_new = RawChild::follow(zone, Some(second_change), &["service-1"]).first();
+    assert_eq!((nothing_new.reset, ids(&nothing_new)), (false, vec![]));
+    // Without a revision, with one of before the relay's first list, and with one that was never.
+    for after in [None, Some(1), Some(second_change + 1_000)] {
+        let whole = RawChild::follow(zone, after, &["service-1"]).first();
+        assert_eq!((whole.reset, ids(&whole)), (true, vec!["s-1", "s-2"]), "after {after:?}");
+        assert_eq!(whole.generation, second_change);
+    }
+    let elsewhere = follower.resume(tree.zones[1].address, &["service-1"]);
+    wait_until("the other relay answers", || !elsewhere.received().is_empty());
+    assert!(!elsewhere.first().reset, "a revision holds at the other relay too");
+    assert_eq!(elsewhere.digest_faults(), Vec::<u64>::new());
+}
+
+#[test]
+fn heartbeats_and_children_stop_with_those_of_upstream() {
+    let own = unreachable_server("s-1", "service-1");
+    let discovery = ServiceDiscovery::with_heartbeat(FAST_HEARTBEAT, std::slice::from_ref(&own));
+    let root = Relay::root(&discovery);
+    let child = RawChild::follow(root.address, None, &["service-1"]);
+    wait_until("heartbeats come", || child.received().iter().filter(|r| r.update.is_none()).count() >= 3);
+    discovery.stop_heartbeats();
+    let last = discovery.put(weighted(&own, 2.0));
+    child.wait_for(last);
+    let told = child
+        .received()
+        .iter()
+        .position(|r| r.ids() == ["s-1"] && !r.update.as_ref().is_some_and(|u| u.reset));
+    let told = told.expect("the change");
+    wait_until("the relay says that it is stale", || root.up() == 503);
+    let later = child.received().split_off(told + 1);
+    // The change itself is a sign of life, whose digest may follow it.
+    assert!(
+        later.len() <= 1 && later.iter().all(|r| r.digest().is_some()),
+        "signs of life of its own: {later:?}"
+    );
+    let refused = RawChild::open(root.address, None, &["service-1"]);
+    assert_eq!(refused.head.status(), 503);
+    assert!(refused.head.header("retry-after").is_some());
+    wait_until("it logs so", || root.log().contains("stale: upstream gave no sign of life"));
+}
+
+#[test]
+fn the_root_of_an_agent_goes_stale_too() {
+    let discovery = ServiceDiscovery::new(&[unreachable_server("s-1", "service-1")]);
+    let root = Relay::root_of_agent(&discovery);
+    discovery.cut_off();
+    wait_until("the relay says that it is stale", || root.up() == 503);
+}
+
+#[test]
+fn one_heartbeat_in_five_carries_a_digest_of_what_the_child_holds() {
+    let own = unreachable_server("s-1", "service-1");
+    let servers =
+        [own.clone(), unreachable_server("s-2", "service-2"), unreachable_server("s-3", "service-3")];
+    let root = Relay::root(&ServiceDiscovery::with_heartbeat(FAST_HEARTBEAT, &servers));
+    let idle = RawChild::follow(root.address, None, &["service-1", "service-3"]);
+    wait_until("signs of life come", || idle.received().len() >= 6 * DIGEST_EVERY);
+    for run in idle.received().windows(DIGEST_EVERY) {
+        assert!(run.iter().any(|sign| sign.digest().is_some()), "no digest in {run:?}");
+    }
+    assert_eq!(idle.digest_faults(), Vec::<u64>::new());
+}
+
+#[test]
+fn digests_fit_what_changes_meanwhile() {
+    let own = unreachable_server("s-1", "service-1");
+    let discovery = ServiceDiscovery::with_heartbeat(FAST_HEARTBEAT, std::slice::from_ref(&own));
+    let root = Relay::root(&discovery);
+    let child = RawChild::follow(root.address, None, &["service-1"]);
+    for step in 1..=20 {
+        let generation = discovery.put_all([
+            weighted(&own, 1.0 + f64::from(step)),
+            unreachable_server(&format!("s-new-{step}"), "service-1"),
+            unreachable_server(&format!("s-other-{step}"), "service-2"),
+        ]);
+        child.wait_for(generation);
+    }
+    let seen = child.received().len();
+    let has_digest = || child.received()[seen..].iter().any(|sign| sign.digest().is_some());
+    wait_until("a digest comes", has_digest);
+    assert_eq!(child.digest_faults(), Vec::<u64>::new());
+    assert_eq!(child.ids().len(), 21);
+}
+
+#[test]
+fn a_limiter_whose_relay_is_killed_in_a_burst_ends_on_the_last_revision() {
+    let [steady, drained, late] = ["steady", "drained", "late"].map(TimedServer::new);
+    let steady_instance = server("s-steady", "service-1", steady.fake.address);
+    let drained_instance = server("s-drained", "service-1", drained.fake.address);
+    let late_instance = server("s-late", "service-1", late.fake.address);
+    let servers = [steady_instance.clone(), drained_instance.clone(), draining(&late_instance)];
+    let mut tree = Tree::of(&servers);
+    let limiter = tree.limiter(&["service-1"]);
+    let load = Load::on(&limiter);
+    wait_until("both servers get work", || !steady.arrivals().is_empty() && !drained.arrivals().is_empty());
+    let zone = tree.zone_in_use();
+    let mut drained_at = Instant::now();
+    let mut last = FIRST_GENERATION;
+    for step in 1..=BURST {
+        let change = match step {
+            DRAIN_AT => draining(&drained_instance),
+            BURST => late_instance.clone(),
+            _ => weighted(&steady_instance, 1.0 + step as f64 / 1_000.0),
+        };
+        if step == DRAIN_AT {
+            drained_at = Instant::now();
+        }
+        last = tree.discovery.put(change);
+        if step == KILL_AT {
+            tree.zones[zone].kill();
+        }
+        thread::sleep(BURST_PAUSE);
+    }
+    let changed_at = Instant::now();
+    wait_until("the server of the last revision gets work", || !late.arrivals().is_empty());
+    let first = late.arrivals()[0].at;
+    assert!(first <= changed_at + IN_FORCE, "the last revision came {:?} late", first - changed_at);
+    let other = &tree.proxies[1 - zone];
+    assert_eq!(other.last_generation(), Some(last));
+    let resumed = other.targets().first().and_then(|target| after_of(target));
+    assert_eq!(resumed, tree.proxies[zone].last_generation(), "it goes on from its revision");
+    assert!(resumed.is_some_and(|after| after > FIRST_GENERATION && after < last), "{resumed:?}");
+    wait_until("the drain is in force", || drained_at.elapsed() > IN_FORCE + GRACE + GRACE);
+    assert_eq!(arrivals_after(&drained, drained_at + IN_FORCE + GRACE), 0);
+    assert!(load.statuses().iter().all(|status| *status == 200), "requests failed");
+}
+
+#[test]
+fn a_limiter_leaves_a_relay_that_stands_still() {
+    let [steady, drained] = ["steady", "drained"].map(TimedServer::new);
+    let drained_instance = server("s-drained", "service-1", drained.fake.address);
+    let tree = Tree::of(&[server("s-steady", "service-1", steady.fake.address), drained_instance.clone()]);
+    let limiter = tree.limiter(&["service-1"]);
+    let load = Load::on(&limiter);
+    wait_until("the server gets work", || !drained.arrivals().is_empty());
+    let zone = tree.zone_in_use();
+    tree.zones[zone].pause();
+    let drained_at = Instant::now();
+    let last = tree.discovery.put(draining(&drained_instance));
+    let other = &tree.proxies[1 - zone];
+    wait_until("the limiter follows the other relay", || other.last_generation() == Some(last));
+    assert_eq!(other.targets().first().and_then(|target| after_of(target)), Some(FIRST_GENERATION));
+    tree.zones[zone].go_on();
+    wait_until("the drain is in force", || drained_at.elapsed() > IN_FORCE + GRACE + GRACE);
+    assert_eq!(arrivals_after(&drained, drained_at + IN_FORCE + GRACE), 0);
+    wait_until("the reason is in the log", || limiter.log().contains("the watch gave no sign of life for"));
+    assert!(load.statuses().iter().all(|status| *status == 200), "requests failed");
+}
+
+#[test]
+fn a_relay_with_an_older_list_takes_nothing_back() {
+    let [steady, drained, late] = ["steady", "drained", "late"].map(TimedServer::new);
+    let drained_instance = server("s-drained", "service-1", drained.fake.address);
+    let late_instance = server("s-late", "service-1", late.fake.address);
+    let steady_instance = server("s-steady", "service-1", steady.fake.address);
+    let discovery = ServiceDiscovery::with_heartbeat(
+        FAST_HEARTBEAT,
+        &[steady_instance, drained_instance.clone(), draining(&late_instance)],
+    );
+    let root = Relay::root(&discovery);
+    let (held_back, passing) = (Arc::new(AtomicBool::new(true)), Arc::new(AtomicBool::new(false)));
+    let passes = passing.clone();
+    let slow_upstream = WatchProxy::filtered(root.address, move |update| {
+        passes.load(Ordering::SeqCst) || update.is_none_or(|update| update.generation <= FIRST_GENERATION)
+    });
+    let slow = Relay::zone(&[slow_upstream.address], 1);
+    let mut current = Relay::zone(&[root.address], 2);
+    // The slow one is not there for the limiter until the current one has told it of the drain.
+    let closed = held_back.clone();
+    let slow_front = WatchProxy::filtered(slow.address, move |_| !closed.load(Ordering::SeqCst));
+    let current_front = WatchProxy::new(current.address);
+    let limiter = FollowingLimiter::start(&[current_front.address, slow_front.address], &["service-1"]);
+    let load = Load::on(&limiter);
+    let drain = discovery.put(draining(&drained_instance));
+    wait_until("the limiter is told", || current_front.last_generation() >= Some(drain));
+    let told_at = Instant::now();
+    held_back.store(false, Ordering::SeqCst);
+    let calls_before = slow_front.targets().len();
+    current.kill();
+    let refusals = || limiter.log().contains("the update is older than the list");
+    wait_until("the older list is refused", || slow_front.targets().len() > calls_before && refusals());
+    assert_eq!(slow_front.targets().last().and_then(|target| after_of(target)), Some(drain));
+    passing.store(true, Ordering::SeqCst);
+    discovery.put(late_instance);
+    wait_until("the slow relay has caught up", || !late.arrivals().is_empty());
+    assert_eq!(arrivals_after(&drained, told_at + GRACE), 0);
+    assert!(load.statuses().iter().all(|status| *status == 200), "requests failed");
+}
+
+#[test]
+fn a_child_that_was_away_for_long_gets_a_whole_list_of_its_services() {
+    let own = unreachable_server("s-1", "service-1");
+    let tree = Tree::of(&[own.clone(), unreachable_server("s-2", "service-2")]);
+    let follower = RawChild::follow(tree.zones[0].address, None, &["service-1"]);
+    let last = tree.discovery.put(weighted(&own, 2.0));
+    follower.wait_for(last);
+    let back = RawChild::follow(tree.zones[0].address, Some(1), &["service-1"]).first();
+    assert_eq!((back.reset, back.generation, ids(&back)), (true, last, vec!["s-1"]));
+}
+
+#[test]
+fn a_lost_message_is_found_by_its_digest_and_repaired() {
+    let [steady, drained] = ["steady", "drained"].map(TimedServer::new);
+    let drained_instance = server("s-drained", "service-1", drained.fake.address);
+    let discovery = ServiceDiscovery::with_heartbeat(
+        FAST_HEARTBEAT,
+        &[server("s-steady", "service-1", steady.fake.address), drained_instance.clone()],
+    );
+    let root = Relay::root(&discovery);
+    let zone = Relay::zone(&[root.address], 1);
+    let (lost, to_lose) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(u64::MAX)));
+    let (dropped, generation) = (lost.clone(), to_lose.clone());
+    let front = WatchProxy::filtered(zone.address, move |update| {
+        let is_change = update.is_some_and(|update| {
+            update.generation == generation.load(Ordering::SeqCst) && !update.instances.is_empty()
+        });
+        !is_change || dropped.swap(true, Ordering::SeqCst)
+    });
+    let limiter = FollowingLimiter::start(&[front.address], &["service-1"]);
+    let load = Load::on(&limiter);
+    wait_until("the server gets work", || !drained.arrivals().is_empty());
+    assert_eq!(front.targets().len(), 1);
+    to_lose.store(discovery.generation() + 1, Ordering::SeqCst);
+    discovery.put(draining(&drained_instance));
+    wait_until("the message is lost", || lost.load(Ordering::SeqCst));
+    wait_until("the limiter asks for the whole list", || {
+        front.targets().len() == 2 && front.last_generation() == Some(discovery.generation())
+    });
+    let repaired_at = Instant::now();
+    assert_eq!(after_of(&front.targets()[1]), None);
+    wait_until("the reason is in the log", || limiter.log().contains("differs from the list's"));
+    wait_until("requests are served by the true list", || arrivals_after(&steady, repaired_at + GRACE) >= 50);
+    assert_eq!(arrivals_after(&drained, repaired_at + GRACE), 0);
+    assert!(load.statuses().iter().all(|status| *status == 200), "requests failed");
+}
+
+#[test]
+fn many_children_at_once_all_get_their_list() {
+    const CHILDREN: usize = 200;
+    const SERVICES: usize = 40;
+    const FOLLOWED: usize = 20;
+    let names: Vec<String> = (0..SERVICES).map(|n| format!("service-{n}")).collect();
+    let servers: Vec<_> =
+        (0..SERVICES * 5).map(|n| unreachable_server(&format!("s-{n}"), &names[n % SERVICES])).collect();
+    let discovery = ServiceDiscovery::new(&servers);
+    let root = Relay::root(&discovery);
+    let start = std::sync::Barrier::new(CHILDREN);
+    at_once(0..CHILDREN, |number| {
+        let followed: Vec<&str> = (0..FOLLOWED).map(|n| names[(number + n) % SERVICES].as_str()).collect();
+        let mut expected: Vec<String> = servers
+            .iter()
+            .filter(|server| followed.contains(&server.service.as_str()))
+            .map(|server| server.instance_id.clone())
+            .collect();
+        expected.sort();
+        start.wait();
+        let child = RawChild::follow(root.address, None, &followed);
+        assert_eq!(child.ids(), expected);
+        assert_eq!(child.digest_faults(), Vec::<u64>::new());
+    });
+}
+
+#[test]
+fn a_child_that_never_reads_is_cut_off_and_costs_the_others_nothing() {
+    /// Enough for the buffers of the sockets and the queue of the child to be full.
+    const SERVERS: usize = 400;
+    const MOST_REVISIONS: u32 = 400;
+    let bulk: Vec<_> = (0..SERVERS).map(|n| unreachable_server(&format!("s-{n}"), "bulk")).collect();
+    let small = unreachable_server("s-small", "small");
+    let discovery = ServiceDiscovery::new(&[bulk.clone(), vec![small.clone()]].concat());
+    let root = Relay::root(&discovery);
+    let mut never_reads = Client::to(root.address);
+    let target = watch_target(None, &["bulk"]);
+    never_reads.send(&format!("GET {target} HTTP/1.1\r\nHost: relay\r\n\r\n"));
+    let reader = RawChild::follow(root.address, None, &["bulk"]);
+    let bystander = RawChild::follow(root.address, None, &["small"]);
+    let cut_off = || root.log().contains("reads too slowly");
+    for step in 1..=MOST_REVISIONS {
+        if cut_off() {
+            break;
+        }
+        let weight = 1.0 + f64::from(step);
+        let generation = discovery.put_all(bulk.iter().map(|server| weighted(server, weight)));
+        reader.wait_for(generation);
+    }
+    wait_until("it is cut off", cut_off);
+    assert_eq!(root.log().matches("reads too slowly").count(), 1, "{}", root.log());
+    let last = discovery.put_all([weighted(&small, 2.0), weighted(&bulk[0], 0.5)]);
+    reader.wait_for(last);
+    bystander.wait_for(last);
+    assert!(!reader.has_ended() && !bystander.has_ended());
+    assert_eq!((reader.digest_faults(), bystander.digest_faults()), (vec![], vec![]));
+}
+
+#[test]
+fn a_tree_cut_off_from_discovery_goes_on_and_comes_together_again() {
+    let [first, second] = ["first", "second"].map(TimedServer::new);
+    let first_instance = server("s-first", "service-1", first.fake.address);
+    let second_instance = server("s-second", "service-1", second.fake.address);
+    let tree = Tree::of(&[first_instance.clone(), draining(&second_instance)]);
+    let limiter = tree.limiter(&["service-1"]);
+    let load = Load::on(&limiter);
+    tree.discovery.cut_off();
+    let cut_at = Instant::now();
+    wait_until("the outage is long", || cut_at.elapsed() > OUTAGE);
+    // Changes that nobody can be told of yet.
+    let last = tree.discovery.put_all([draining(&first_instance), second_instance]);
+    wait_until("the limiter says that its list is stale", || {
+        limiter.log().contains("stale: going on by a list")
+    });
+    let stale_at = Instant::now();
+    wait_until("it goes on serving", || arrivals_after(&first, stale_at) >= 20);
+    assert_eq!(second.arrivals().len(), 0);
+    wait_until("the root is stale", || tree.root.up() == 503);
+    tree.discovery.restore();
+    let restored_at = Instant::now();
+    wait_until("the new revision is in force", || !second.arrivals().is_empty());
+    let served = second.arrivals()[0].at;
+    assert!(served <= restored_at + IN_FORCE, "the new revision came {:?} late", served - restored_at);
+    wait_until("the list is confirmed", || limiter.log().contains("confirmed again"));
+    assert!(tree.proxies.iter().any(|proxy| proxy.last_generation() == Some(last)));
+    let confirmed_at = Instant::now();
+    wait_until("more is served", || arrivals_after(&second, confirmed_at + GRACE) >= 20);
+    assert_eq!(arrivals_after(&first, confirmed_at + GRACE), 0);
+    assert!(load.statuses().iter().all(|status| *status == 200), "requests failed");
+}
+
+/// A change may be in force nowhere later than after this time, so a list that may lack one is stale by then.
+#[test]
+fn a_limiter_is_stale_so_long_after_the_last_sign_of_life_of_discovery() {
+    let only = TimedServer::new("only");
+    let tree = Tree::of(&[server("s-only", "service-1", only.fake.address)]);
+    let limiter = tree.limiter(&["service-1"]);
+    tree.discovery.cut_off();
+    let last_sign = tree.discovery.last_sign();
+    wait_until("the limiter says that its list is stale", || {
+        limiter.log().contains("stale: going on by a list")
+    });
+    let took = last_sign.elapsed();
+    assert!(took <= IN_FORCE + GRACE, "the limiter called its list stale only after {took:?}");
+}
+
+#[test]
+fn a_limiter_started_while_all_is_stale_goes_by_its_configured_list() {
+    let only = TimedServer::new("only");
+    let instance = server("s-only", "service-1", only.fake.address);
+    let tree = Tree::of(std::slice::from_ref(&instance));
+    tree.discovery.cut_off();
+    wait_until("the relays are stale", || tree.zones.iter().all(|zone| zone.up() == 503));
+    let known = json!({"generation": FIRST_GENERATION, "reset": true, "instances": [instance]});
+    let started = Instant::now();
+    let limiter = FollowingLimiter::spawn(&tree.fronts(), &["service-1"], Some(known));
+    wait_until("the limiter is up", || limiter.limiter.up());
+    assert!(started.elapsed() >= FIRST_LIST, "it was ready without any list");
+    assert_eq!(limiter.ask().text(), "only");
+    wait_until("it logs so", || {
+        limiter.log().contains("no list came: going by the one in the configuration")
+    });
+    assert!(tree.proxies.iter().all(|proxy| !proxy.targets().is_empty()), "both relays were asked");
+    assert_eq!(limiter.discovery.accepted(), 0, "discovery is not asked");
+}
+
+#[test]
+fn without_the_section_no_relay_is_called() {
+    let only = TimedServer::new("only");
+    let relay = WatchProxy::new(SocketAddr::from(([127, 0, 0, 1], 9)));
+    let discovery = discovery(vec![instance("s-only", only.fake.address, "in_service")]);
+    let limiter = Limiter::start(settings(), &discovery, counter().address);
+    assert_eq!(limiter.client().ask(&quote("roomy", 9_000)).text(), "only");
+    assert_eq!(relay.targets(), Vec::<String>::new());
+    let targets: Vec<String> = discovery.seen().into_iter().map(|call| call.first).collect();
+    assert!(targets.iter().all(|target| !target.contains("service=")), "{targets:?}");
+}
+
+#[test]
+fn a_relay_ends_with_0_when_it_is_told_to() {
+    let discovery = ServiceDiscovery::new(&[unreachable_server("s-1", "service-1")]);
+    let mut root = Relay::root(&discovery);
+    let mut zone = Relay::zone(&[root.address], 1);
+    let child = RawChild::follow(zone.address, None, &["service-1"]);
+    assert_eq!(zone.terminate().code(), Some(0));
+    wait_until("its child is let go", || child.has_ended());
+    assert_eq!(root.terminate().code(), Some(0));
+    wait_until("it logs so", || root.log().contains("SIGTERM: ending"));
+}
