Tests of relays: one revision for children of several services, off without the section, how late a stale list is told

The test of staleness waits on behind its bound, so that its failure tells the figure. The test without [relays] could not fail (nobody knew the relay's address); it is replaced by one that needs both services to get work and looks at the calls to discovery.

--- a/crates/daemon/tests/relays.rs
+++ b/crates/daemon/tests/relays.rs
@@ -21,6 +21,8 @@
 const FIRST_LIST: Duration = Duration::from_millis(8_500);
 /// Longer than a list from relays is good for.
 const OUTAGE: Duration = Duration::from_secs(9);
+/// How long a limiter is watched that does not call its list stale.
+const LONGEST_UNTIL_STALE: Duration = Duration::from_secs(40);
 /// Heartbeats of a discovery that the test need not wait long for.
 const FAST_HEARTBEAT: Duration = Duration::from_millis(100);
 /// Each so many heartbeats one carries a digest.
@@ -352,6 +354,24 @@
     assert!(load.statuses().iter().all(|status| *status == 200), "requests failed");
 }
 
+#[test]
+fn one_revision_tells_each_child_of_its_own_services() {
+    let services = ["service-1", "service-2", "service-3"];
+    let servers = services.map(|service| unreachable_server(&format!("s-of-{service}"), service));
+    let tree = Tree::of(&servers);
+    let zone = tree.zones[0].address;
+    let children = services.map(|service| RawChild::follow(zone, None, &[service]));
+    let both = RawChild::follow(zone, None, &services[..2]);
+    let last = tree.discovery.put_all(servers.iter().map(|server| weighted(server, 2.0)));
+    for (child, server) in children.iter().zip(&servers) {
+        child.wait_for(last);
+        let delta = child.received().into_iter().filter_map(|r| r.update).find(|update| !update.reset);
+        assert_eq!(ids(&delta.expect("a delta")), [server.instance_id.as_str()]);
+    }
+    both.wait_for(last);
+    assert_eq!(both.ids(), ["s-of-service-1", "s-of-service-2"]);
+}
+
 #[test]
 fn a_child_that_was_away_for_long_gets_a_whole_list_of_its_services() {
     let own = unreachable_server("s-1", "service-1");
@@ -490,7 +510,8 @@
     assert!(load.statuses().iter().all(|status| *status == 200), "requests failed");
 }
 
-/// A change may be in force nowhere later than after this time, so a list that may lack one is stale by then.
+/// A list may lack a change that discovery had right after its last sign of life, so it is stale when that change
+/// has to be in force. What a relay tells a child that comes later makes it no fresher.
 #[test]
 fn a_limiter_is_stale_so_long_after_the_last_sign_of_life_of_discovery() {
     let only = TimedServer::new("only");
@@ -498,11 +519,18 @@
     let limiter = tree.limiter(&["service-1"]);
     tree.discovery.cut_off();
     let last_sign = tree.discovery.last_sign();
-    wait_until("the limiter says that its list is stale", || {
-        limiter.log().contains("stale: going on by a list")
-    });
-    let took = last_sign.elapsed();
-    assert!(took <= IN_FORCE + GRACE, "the limiter called its list stale only after {took:?}");
+    let is_stale = || limiter.log().contains("stale: going on by a list");
+    // Waits on behind the bound, so that a failure tells how late it was.
+    while !is_stale() && last_sign.elapsed() < LONGEST_UNTIL_STALE {
+        thread::sleep(BURST_PAUSE);
+    }
+    let (stale, took) = (is_stale(), last_sign.elapsed());
+    assert!(
+        stale && took <= IN_FORCE + GRACE,
+        "stale: {stale}, {took:?} after the last sign of life of discovery; calls: {:?} and {:?}",
+        tree.proxies[0].targets(),
+        tree.proxies[1].targets()
+    );
 }
 
 #[test]
@@ -525,16 +553,23 @@
     assert_eq!(limiter.discovery.accepted(), 0, "discovery is not asked");
 }
 
+/// Without `[relays]` discovery itself is watched as ever: the whole list, whatever the services.
 #[test]
-fn without_the_section_no_relay_is_called() {
-    let only = TimedServer::new("only");
-    let relay = WatchProxy::new(SocketAddr::from(([127, 0, 0, 1], 9)));
-    let discovery = discovery(vec![instance("s-only", only.fake.address, "in_service")]);
+fn without_the_section_discovery_is_watched_for_all_services() {
+    let [first, second] = ["first", "second"].map(TimedServer::new);
+    let discovery = discovery(vec![
+        json!(server("s-first", "service-1", first.fake.address)),
+        json!(server("s-second", "service-2", second.fake.address)),
+    ]);
     let limiter = Limiter::start(settings(), &discovery, counter().address);
-    assert_eq!(limiter.client().ask(&quote("roomy", 9_000)).text(), "only");
-    assert_eq!(relay.targets(), Vec::<String>::new());
-    let targets: Vec<String> = discovery.seen().into_iter().map(|call| call.first).collect();
-    assert!(targets.iter().all(|target| !target.contains("service=")), "{targets:?}");
+    wait_until("both servers get work", || {
+        assert_eq!(limiter.client().ask(&quote("roomy", 9_000)).status(), 200);
+        !first.arrivals().is_empty() && !second.arrivals().is_empty()
+    });
+    let calls: Vec<String> = discovery.seen().into_iter().map(|call| call.first).collect();
+    let watch = "GET /discovery/hosts?watch=1";
+    assert!(!calls.is_empty() && calls.iter().all(|call| call.starts_with(watch)), "{calls:?}");
+    assert!(calls.iter().all(|call| !call.contains("service=")), "{calls:?}");
 }
 
 #[test]
