Tests of the catalog: change logs and replicas against the list of every generation

Need: a child may come from any relay with any generation, and must hold the right list afterwards.

Change: property tests with fixed seeds against a map per generation, the messages as text, and the bounds of the history. ChangeLog::history_services tells how many services the history knows.

--- a/crates/catalog/src/change_log.rs
+++ b/crates/catalog/src/change_log.rs
@@ -111,6 +111,11 @@
         self.history.len()
     }
 
+    /// How many services the history knows; no more than it has changes and the list has services.
+    pub fn history_services(&self) -> usize {
+        self.history.service_names().count()
+    }
+
     /// The servers of a subscription that are not terminated.
     pub fn instances<'a>(
         &'a self,
--- /dev/null
+++ b/crates/catalog/tests/properties.rs
@@ -0,0 +1,473 @@
+//! Change logs and replicas against a plain reference: the list of every generation, as a map.
+
+use liftrouter_catalog::{
+    ApplyError, Change, ChangeLog, Digest, Instance, Lifecycle, Replica, ReplicaError, Subscribers,
+    Subscription, Update,
+};
+use proptest::prelude::*;
+use proptest::sample::subsequence;
+use std::collections::{BTreeMap, BTreeSet};
+
+const SERVICES: [&str; 4] = ["a", "b", "c", "d"];
+const SERVERS: u8 = 8;
+
+type List = BTreeMap<String, Instance>;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    }
+}
+
+fn instance(id: u8, service: usize, weight: u8, lifecycle: Lifecycle) -> Instance {
+    Instance {
+        instance_id: format!("i{id}"),
+        host_port: ([10, 0, 0, id], 80).into(),
+        service: SERVICES[service].into(),
+        zone: "z".into(),
+        machine_type: String::new(),
+        cell: 0,
+        lifecycle,
+        weight: Some(f64::from(weight)),
+        started_at_ms: None,
+    }
+}
+
+/// One change of one server at the root.
+fn any_change() -> impl Strategy<Value = Instance> {
+    let lifecycle = prop_oneof![
+        4 => Just(Lifecycle::InService),
+        1 => Just(Lifecycle::Terminating),
+        2 => Just(Lifecycle::Terminated),
+    ];
+    (0..SERVERS, 0..SERVICES.len(), 0..3u8, lifecycle)
+        .prop_map(|(id, service, weight, lifecycle)| instance(id, service, weight, lifecycle))
+}
+
+fn any_subscription() -> impl Strategy<Value = Subscription> {
+    prop_oneof![
+        1 => Just(Subscription::All),
+        4 => subsequence(SERVICES.to_vec(), 0..=SERVICES.len()).prop_map(Subscription::services),
+    ]
+}
+
+/// How a relay goes on: by so many generations, by a delta or a whole list.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    generations: usize,
+    reset: bool,
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let reset = prop_oneof![4 => Just(false), 1 => Just(true)];
+    (0..4usize, reset).prop_map(|(generations, reset)| Step { generations, reset })
+}
+
+/// The list at every generation, the first of which is empty.
+struct Reference {
+    lists: Vec<List>,
+    changes: Vec<Instance>,
+}
+
+impl Reference {
+    fn new(changes: Vec<Instance>) -> Self {
+        let mut lists = vec![List::new()];
+        for change in &changes {
+            let mut list = lists.last().unwrap().clone();
+            list.remove(&change.instance_id);
+            if !change.is_terminated() {
+                list.insert(change.instance_id.clone(), change.clone());
+            }
+            lists.push(list);
+        }
+        Reference { lists, changes }
+    }
+
+    fn last(&self) -> usize {
+        self.changes.len()
+    }
+
+    fn list(&self, generation: usize, subscription: &Subscription) -> List {
+        let entries = self.lists[generation].iter();
+        let subscribed = entries.filter(|(_, instance)| subscription.includes(&instance.service));
+        subscribed.map(|(id, instance)| (id.clone(), instance.clone())).collect()
+    }
+
+    fn whole(&self, generation: usize, subscription: &Subscription) -> Update {
+        let instances = self.list(generation, subscription).into_values().collect();
+        Update { generation: generation as u64, reset: true, instances, ..Update::default() }
+    }
+
+    /// All changes after one generation up to another.
+    fn delta(&self, after: usize, generation: usize) -> Update {
+        let instances = self.changes[after..generation].to_vec();
+        Update { generation: generation as u64, instances, ..Update::default() }
+    }
+
+    fn step(&self, at: usize, step: Step) -> Update {
+        let to = (at + step.generations).min(self.last());
+        if step.reset {
+            self.whole(to, &Subscription::All)
+        } else {
+            self.delta(at, to)
+        }
+    }
+
+    /// A replica that holds what was subscribed at a generation.
+    fn replica(&self, generation: usize, subscription: &Subscription) -> Replica {
+        let mut replica = Replica::new();
+        replica.apply(self.whole(generation, subscription)).unwrap();
+        replica
+    }
+}
+
+fn held(replica: &Replica) -> List {
+    replica.instances().map(|instance| (instance.instance_id.clone(), instance.clone())).collect()
+}
+
+fn held_by_log(log: &ChangeLog, subscription: &Subscription) -> List {
+    log.instances(subscription)
+        .map(|instance| (instance.instance_id.clone(), Instance::clone(instance)))
+        .collect()
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Wherever a child comes from, and whatever its relay has missed, it holds the list of its relay afterwards.
+    #[test]
+    fn a_child_holds_the_list_after_any_generation(
+        changes in prop::collection::vec(any_change(), 1..30),
+        steps in prop::collection::vec(any_step(), 1..12),
+        limit in 0..24usize,
+        subscription in any_subscription(),
+    ) {
+        let reference = Reference::new(changes);
+        let mut log = ChangeLog::with_history(limit);
+        let mut at = 0;
+        log.apply(reference.whole(at, &Subscription::All)).unwrap();
+        for step in steps {
+            let mut update = reference.step(at, step);
+            at = update.generation as usize;
+            update.digest = Some(Digest::of(reference.lists[at].values()));
+            log.apply(update).unwrap();
+            prop_assert!(log.history_len() <= limit);
+            let expected = reference.list(at, &subscription);
+            prop_assert_eq!(&held_by_log(&log, &subscription), &expected);
+            prop_assert_eq!(log.digest(&subscription), Digest::of(expected.values()));
+            for after in 0..=at {
+                let mut child = reference.replica(after, &subscription);
+                let mut update = log.since(&subscription, Some(after as u64)).unwrap();
+                update.digest = Some(log.digest(&subscription));
+                child.apply(update).unwrap();
+                prop_assert_eq!(&held(&child), &expected, "after {}", after);
+                prop_assert_eq!(child.generation(), Some(at as u64));
+            }
+            // From a later generation, or from none, only the whole list is right.
+            for after in [Some(at as u64 + 1), None] {
+                let update = log.since(&subscription, after).unwrap();
+                prop_assert!(update.reset);
+                let named: List = update.instances.into_iter().map(|i| (i.instance_id.clone(), i)).collect();
+                prop_assert_eq!(&named, &expected);
+            }
+        }
+    }
+
+    /// The history is used: a log that saw every generation, and remembers them all, gives deltas, and these name
+    /// just the servers that changed.
+    #[test]
+    fn a_remembered_generation_is_answered_by_a_delta(
+        changes in prop::collection::vec(any_change(), 1..30), subscription in any_subscription(),
+    ) {
+        let reference = Reference::new(changes);
+        let mut log = ChangeLog::with_history(60);
+        log.apply(reference.whole(0, &Subscription::All)).unwrap();
+        for generation in 1..=reference.last() {
+            log.apply(reference.delta(generation - 1, generation)).unwrap();
+        }
+        for after in 0..=reference.last() {
+            let update = log.since(&subscription, Some(after as u64)).unwrap();
+            prop_assert!(!update.reset);
+            let changed: BTreeSet<&str> =
+                reference.changes[after..].iter().map(|change| change.instance_id.as_str()).collect();
+            let mut named = BTreeSet::new();
+            for instance in &update.instances {
+                prop_assert!(changed.contains(instance.instance_id.as_str()));
+                prop_assert!(named.insert(instance.instance_id.as_str()), "named twice");
+            }
+        }
+    }
+
+    /// A whole list from upstream reaches children as the difference.
+    #[test]
+    fn a_reset_from_upstream_becomes_a_delta(
+        changes in prop::collection::vec(any_change(), 2..30),
+        from in 0..15usize,
+        subscription in any_subscription(),
+    ) {
+        let reference = Reference::new(changes);
+        let (from, to) = (from.min(reference.last() - 1), reference.last());
+        let mut log = ChangeLog::new();
+        log.apply(reference.whole(from, &Subscription::All)).unwrap();
+        let applied = log.apply(reference.whole(to, &Subscription::All)).unwrap();
+        let update = log.since(&subscription, Some(from as u64)).unwrap();
+        prop_assert!(!update.reset);
+        prop_assert_eq!(update.generation, to as u64);
+        let (before, after) = (reference.list(from, &subscription), reference.list(to, &subscription));
+        let ids: BTreeSet<&String> = before.keys().chain(after.keys()).collect();
+        let differing: BTreeSet<&str> =
+            ids.into_iter().filter(|id| before.get(*id) != after.get(*id)).map(String::as_str).collect();
+        let named: BTreeSet<&str> = update.instances.iter().map(|i| i.instance_id.as_str()).collect();
+        prop_assert_eq!(&named, &differing);
+        let mut services = BTreeSet::new();
+        for id in &differing {
+            services.extend(before.get(*id).map(|i| i.service.clone()));
+            services.extend(after.get(*id).map(|i| i.service.clone()));
+        }
+        services.retain(|service| subscription.includes(service));
+        prop_assert!(services.is_subset(&applied.services));
+    }
+
+    /// Two lists have the same digest just where they are the same.
+    #[test]
+    fn digests_are_equal_just_where_lists_are(
+        first in prop::collection::vec(any_change(), 0..10),
+        second in prop::collection::vec(any_change(), 0..10),
+    ) {
+        let (first, second) = (Reference::new(first), Reference::new(second));
+        let (first, second) = (first.lists.last().unwrap(), second.lists.last().unwrap());
+        prop_assert_eq!(Digest::of(first.values()) == Digest::of(second.values()), first == second);
+        prop_assert_eq!(Digest::of(first.values()), Digest::of(first.values().rev()));
+    }
+
+    /// A delta that was lost is found by the next digest where it made a difference, nothing is changed then, and
+    /// a whole list mends it.
+    #[test]
+    fn a_lost_delta_is_found(
+        changes in prop::collection::vec(any_change(), 3..20),
+        lost in 0..20usize,
+        subscription in any_subscription(),
+    ) {
+        let reference = Reference::new(changes);
+        let lost = 1 + lost % (reference.last() - 1);
+        let mut log = ChangeLog::new();
+        log.apply(reference.whole(0, &Subscription::All)).unwrap();
+        let mut child = reference.replica(0, &subscription);
+        for generation in 1..=reference.last() {
+            log.apply(reference.delta(generation - 1, generation)).unwrap();
+            if generation == lost {
+                continue;
+            }
+            let mut delta = log.since(&subscription, Some(generation as u64 - 1)).unwrap();
+            delta.digest = Some(log.digest(&subscription));
+            let mut expected = held(&child);
+            for instance in &delta.instances {
+                expected.remove(&instance.instance_id);
+                if !instance.is_terminated() {
+                    expected.insert(instance.instance_id.clone(), instance.clone());
+                }
+            }
+            let before = held(&child);
+            let right = expected == reference.list(generation, &subscription);
+            match child.apply(delta) {
+                Ok(_) => prop_assert!(right, "not found"),
+                Err(ReplicaError::Digest { .. }) => {
+                    prop_assert!(!right);
+                    prop_assert_eq!(held(&child), before);
+                    let mut whole = log.since(&subscription, None).unwrap();
+                    whole.digest = Some(log.digest(&subscription));
+                    child.apply(whole).unwrap();
+                }
+                Err(other) => prop_assert!(false, "{}", other),
+            }
+        }
+        prop_assert_eq!(held(&child), reference.list(reference.last(), &subscription));
+    }
+
+    /// The changes that a replica tells lead from the list before to the list after.
+    #[test]
+    fn a_replica_tells_what_changed(
+        changes in prop::collection::vec(any_change(), 1..20), reset: bool, after in 0..20usize,
+    ) {
+        let reference = Reference::new(changes);
+        let after = after.min(reference.last());
+        let mut child = reference.replica(after, &Subscription::All);
+        let mut list = held(&child);
+        let update =
+            if reset { reference.whole(reference.last(), &Subscription::All) } else { reference.delta(after, reference.last()) };
+        let mut seen = BTreeSet::new();
+        for change in child.apply(update).unwrap() {
+            let (Change::Listed(instance) | Change::Removed(instance)) = &change;
+            prop_assert!(seen.insert(instance.instance_id.clone()), "told twice");
+            let before = match &change {
+                Change::Listed(instance) => list.insert(instance.instance_id.clone(), instance.clone()),
+                Change::Removed(instance) => list.remove(&instance.instance_id),
+            };
+            match change {
+                Change::Listed(instance) => prop_assert_ne!(before, Some(instance)),
+                Change::Removed(instance) => prop_assert_eq!(before, Some(instance)),
+            }
+        }
+        prop_assert_eq!(&list, &reference.lists[reference.last()]);
+        prop_assert_eq!(held(&child), list);
+    }
+
+    /// A child is told of a service just where it follows it, and once.
+    #[test]
+    fn interested_children_are_those_that_follow(
+        operations in prop::collection::vec((0..5u8, prop::option::of(any_subscription())), 0..20),
+    ) {
+        let mut subscribers = Subscribers::new();
+        let mut reference = BTreeMap::new();
+        for (child, subscription) in operations {
+            match subscription {
+                Some(subscription) => {
+                    subscribers.subscribe(child, subscription.clone());
+                    reference.insert(child, subscription);
+                }
+                None => prop_assert_eq!(subscribers.unsubscribe(&child), reference.remove(&child)),
+            }
+            prop_assert_eq!(subscribers.len(), reference.len());
+            for service in SERVICES {
+                let mut interested: Vec<u8> = subscribers.interested(service).copied().collect();
+                interested.sort_unstable();
+                let expected: Vec<u8> =
+                    reference.iter().filter(|(_, s)| s.includes(service)).map(|(child, _)| *child).collect();
+                prop_assert_eq!(&interested, &expected);
+            }
+            let any: BTreeSet<u8> = subscribers.interested_in_any(["a", "b"]);
+            let follows = |s: &Subscription| s.includes("a") || s.includes("b");
+            let expected: BTreeSet<u8> =
+                reference.iter().filter(|(_, s)| follows(s)).map(|(child, _)| *child).collect();
+            prop_assert_eq!(any, expected);
+        }
+    }
+}
+
+/// A list that changes for ever, with ever new services, costs no more than the history.
+#[test]
+fn the_memory_of_the_history_is_bounded() {
+    const LIMIT: usize = 100;
+    let mut log = ChangeLog::with_history(LIMIT);
+    log.apply(Update { reset: true, ..Update::default() }).unwrap();
+    let mut before: Option<Instance> = None;
+    for generation in 1..20_000u64 {
+        let mut next = instance((generation % 4) as u8, 0, 0, Lifecycle::InService);
+        next.service = format!("service-{generation}");
+        let gone = before.replace(next.clone()).map(|instance| instance.terminated());
+        let instances = gone.into_iter().chain([next]).collect();
+        log.apply(Update { generation: generation * 2, instances, ..Update::default() }).unwrap();
+        assert!(log.history_len() <= LIMIT);
+        assert!(log.history_services() <= LIMIT + 1, "{} services", log.history_services());
+    }
+    assert_eq!(log.history_len(), LIMIT);
+}
+
+/// A service that nothing happened to is answered by a delta however much happened to others.
+#[test]
+fn a_quiet_service_is_answered_by_a_delta_for_long() {
+    let mut log = ChangeLog::with_history(10);
+    let quiet = instance(0, 0, 1, Lifecycle::InService);
+    log.apply(Update { generation: 1, reset: true, instances: vec![quiet], ..Update::default() }).unwrap();
+    for generation in 2..1_000 {
+        let changed = instance(1, 1, (generation % 2) as u8, Lifecycle::InService);
+        log.apply(Update { generation, instances: vec![changed], ..Update::default() }).unwrap();
+    }
+    let update = log.since(&Subscription::services(["a"]), Some(1)).unwrap();
+    assert_eq!(update, Update { generation: 999, ..Update::default() });
+    assert!(log.since(&Subscription::services(["b"]), Some(1)).unwrap().reset);
+}
+
+/// A whole list that mends a generation without ending it reaches the children that hold this generation.
+#[test]
+fn a_list_repaired_at_its_generation_is_given_whole() {
+    let right = [instance(0, 0, 1, Lifecycle::InService), instance(1, 0, 1, Lifecycle::InService)];
+    let mut log = ChangeLog::new();
+    log.apply(Update { generation: 5, reset: true, instances: right[..1].to_vec(), ..Update::default() })
+        .unwrap();
+    let digest = Some(Digest::of(&right));
+    let found = log.apply(Update { generation: 5, digest, ..Update::default() });
+    assert!(matches!(found, Err(ApplyError::DigestMismatch { generation: 5, .. })));
+    log.apply(Update { generation: 5, reset: true, instances: right.to_vec(), digest, ..Update::default() })
+        .unwrap();
+    let subscription = Subscription::services(["a"]);
+    let update = log.since(&subscription, Some(5)).unwrap();
+    assert!(update.reset);
+    assert_eq!(update.instances.len(), 2);
+    assert!(!log.since(&Subscription::services(["b"]), Some(5)).unwrap().reset, "the others lost nothing");
+}
+
+/// What is refused changes nothing.
+#[test]
+fn what_cannot_be_applied_is_told() {
+    let listed = instance(0, 0, 1, Lifecycle::InService);
+    let whole =
+        |generation| Update { generation, reset: true, instances: vec![listed.clone()], ..Update::default() };
+    let mut log = ChangeLog::new();
+    let mut replica = Replica::new();
+    assert_eq!(log.since(&Subscription::All, None), None);
+    assert_eq!(log.digest_message(&Subscription::All), None);
+    let delta = Update { generation: 3, ..Update::default() };
+    assert_eq!(log.apply(delta.clone()), Err(ApplyError::Gap { got: 3 }));
+    assert_eq!(replica.apply(delta.clone()), Err(ReplicaError::NoList));
+    log.apply(whole(4)).unwrap();
+    replica.apply(whole(4)).unwrap();
+    assert_eq!(log.apply(delta.clone()), Err(ApplyError::Older { held: 4, got: 3 }));
+    assert_eq!(replica.apply(delta), Err(ReplicaError::Older { held: 4, got: 3 }));
+    let empty =
+        Update { generation: 9, reset: true, digest: Some(Digest::of([&listed])), ..Update::default() };
+    assert!(matches!(log.apply(empty.clone()), Err(ApplyError::DigestMismatch { .. })));
+    assert!(matches!(replica.apply(empty), Err(ReplicaError::Digest { .. })));
+    assert_eq!((log.generation(), replica.generation()), (Some(4), Some(4)));
+    assert_eq!(
+        (log.digest(&Subscription::All), replica.digest()),
+        (Digest::of([&listed]), Digest::of([&listed]))
+    );
+    let message = log.digest_message(&Subscription::All).unwrap();
+    assert_eq!(replica.apply(message), Ok(Vec::new()));
+}
+
+/// A root that counts anew is followed once its old count is let go of, and nobody is told a delta across that.
+#[test]
+fn a_root_that_counts_anew_is_followed() {
+    let [old, new] = [1, 2].map(|weight| instance(0, 0, weight, Lifecycle::InService));
+    let whole = |generation, listed: &Instance| Update {
+        generation,
+        reset: true,
+        instances: vec![listed.clone()],
+        ..Update::default()
+    };
+    let mut log = ChangeLog::new();
+    let mut replica = Replica::new();
+    log.apply(whole(100, &old)).unwrap();
+    replica.apply(log.since(&Subscription::All, None).unwrap()).unwrap();
+    log.forget_generation();
+    let applied = log.apply(whole(3, &new)).unwrap();
+    assert_eq!((applied.generation, applied.changed), (3, 1));
+    assert_eq!(applied.services, BTreeSet::from(["a".to_owned()]));
+    for after in [2, 100] {
+        assert!(log.since(&Subscription::All, Some(after)).unwrap().reset);
+    }
+    let update = log.since(&Subscription::All, replica.generation()).unwrap();
+    assert_eq!(replica.apply(update.clone()), Err(ReplicaError::Older { held: 100, got: 3 }));
+    replica.forget_generation();
+    assert_eq!(replica.apply(update), Ok(vec![Change::Listed(new)]));
+}
+
+/// Entries that cannot be read leave the digest unmet for ever: it is not looked at then.
+#[test]
+fn a_message_with_unreadable_entries_is_applied() {
+    let listed = instance(0, 0, 1, Lifecycle::InService);
+    let text = format!(
+        r#"{{"generation":1,"reset":true,"digest":"00000000000000ff","instances":[{},{{"instanceId":"x"}}]}}"#,
+        serde_json::to_string(&listed).unwrap()
+    );
+    let update: Update = serde_json::from_str(&text).unwrap();
+    let mut log = ChangeLog::new();
+    let mut replica = Replica::new();
+    assert_eq!(log.apply(update.clone()).unwrap().changed, 1);
+    assert_eq!(replica.apply(update), Ok(vec![Change::Listed(listed)]));
+}
