Trees of relays in simulated time: faults, a checker, and what a replica receives

Need: 7,100 limiters must hold the list of their services within 8 s of a change through every fault of the tree, for 4 KB/s each, and say so where their list may be out of date.

Change: tests/tree.rs plays a source, two tiers of relays in 2 regions and 7 zones, and up to 7,100 replicas with the catalog's own code over a network with delays and losses, and compares every replica with the source. Three broken trees are found: lost deltas without digests, a relay that drops changes, replicas that never say they are stale. The example tree prints the table of all faults at any size. The change log hashes a server once for each change.

--- /dev/null
+++ b/crates/catalog/examples/tree.rs
@@ -0,0 +1,86 @@
+//! Plays every fault in trees of the given numbers of replicas and prints a Markdown table of what came of it:
+//! `cargo run -p liftrouter-catalog --example tree -- 100 1000 7100`. Ends with 1 where the checker found something.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::process::ExitCode;
+use support::scenario::{play, Outcome, Scenario};
+use support::world::{Broken, Settings};
+
+const DEFAULT_SIZES: [usize; 3] = [100, 1_000, 7_100];
+
+const FAULTS: [Scenario; 9] = [
+    Scenario::Steady,
+    Scenario::ZoneRelayDies,
+    Scenario::RegionRelayDies,
+    Scenario::RelayIsSlow,
+    Scenario::ReplicasReturn,
+    Scenario::RevisionsLost,
+    Scenario::ZoneJoins,
+    Scenario::RegionsApart,
+    Scenario::TenthRestarts,
+];
+
+const BROKEN: [Broken; 3] = [Broken::NoDigests, Broken::RelayDropsChanges, Broken::NeverStale];
+
+fn name(scenario: Scenario) -> &'static str {
+    match scenario {
+        Scenario::Steady => "steady",
+        Scenario::ZoneRelayDies => "a relay of a zone dies in a burst of 100 changes a second",
+        Scenario::RegionRelayDies => "a relay of a region dies in such a burst",
+        Scenario::RelayIsSlow => "a relay of a region becomes slow by 3 s",
+        Scenario::ReplicasReturn => "a tenth of the replicas returns after an hour",
+        Scenario::RevisionsLost => "one revision lost on the way to a replica, one to a relay",
+        Scenario::ZoneJoins => "all replicas of a zone join at once",
+        Scenario::RegionsApart => "the regions are apart for an hour",
+        Scenario::TenthRestarts => "a tenth of the replicas restarts",
+    }
+}
+
+fn main() -> ExitCode {
+    let mut sizes: Vec<usize> =
+        std::env::args().skip(1).map(|size| size.parse().expect("sizes are numbers")).collect();
+    if sizes.is_empty() {
+        sizes.extend(DEFAULT_SIZES);
+    }
+    println!("| replicas | fault | B/s a replica (mean) | B/s (most) | messages/s | lag p50 ms | p99 | p99.9 | last | changes x replicas | list after (re)joining, last ms | whole lists | repairs | share stale | violations |");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    let mut violations = 0;
+    for size in sizes {
+        for scenario in FAULTS {
+            let outcome = play(scenario, Settings::of_size(size));
+            print_row(size, name(scenario), &outcome);
+            violations += outcome.violations.len();
+        }
+        for broken in BROKEN {
+            let outcome = play(broken.shown_by(), Settings { broken, ..Settings::of_size(size) });
+            print_row(size, &format!("BROKEN {broken:?}: {}", name(broken.shown_by())), &outcome);
+        }
+    }
+    if violations == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn print_row(size: usize, name: &str, outcome: &Outcome) {
+    let Outcome { traffic, lags, joins, .. } = outcome;
+    println!(
+        "| {size} | {name} | {:.1} | {:.1} | {:.3} | {:.1} | {:.0} | {:.0} | {:.0} | {} | {:.0} | {} | {} | {:.4} | {} |",
+        traffic.mean_bytes,
+        traffic.largest_bytes,
+        traffic.mean_messages,
+        lags.p50,
+        lags.p99,
+        lags.p999,
+        lags.last,
+        lags.count,
+        joins.last,
+        outcome.whole_lists,
+        outcome.repairs,
+        outcome.stale_share,
+        outcome.violations.len(),
+    );
+}
--- a/crates/catalog/src/change_log.rs
+++ b/crates/catalog/src/change_log.rs
@@ -82,6 +82,9 @@
 struct Difference {
     before: Option<Arc<Instance>>,
     after: Option<Arc<Instance>>,
+    /// The digests of these two.
+    removed: Digest,
+    added: Digest,
 }
 
 impl ChangeLog {
@@ -176,14 +179,13 @@
         let mut differences = Vec::new();
         if reset {
             let missing = self.by_id.iter().filter(|(id, _)| !named.contains_key(*id));
-            differences
-                .extend(missing.map(|(_, held)| Difference { before: Some(held.clone()), after: None }));
+            differences.extend(missing.map(|(_, held)| Difference::new(Some(held.clone()), None)));
         }
         for (id, instance) in named {
             let before = self.by_id.get(&id).cloned();
             let after = Some(instance).filter(|instance| !instance.is_terminated());
             if before.as_deref() != after.as_ref() {
-                differences.push(Difference { before, after: after.map(Arc::new) });
+                differences.push(Difference::new(before, after.map(Arc::new)));
             }
         }
         differences
@@ -192,12 +194,8 @@
     fn digest_after(&self, differences: &[Difference]) -> Digest {
         let mut digest = self.digest;
         for difference in differences {
-            if let Some(before) = &difference.before {
-                digest.remove(before);
-            }
-            if let Some(after) = &difference.after {
-                digest.add(after);
-            }
+            digest.unmerge(difference.removed);
+            digest.merge(difference.added);
         }
         digest
     }
@@ -229,28 +227,28 @@
 
     fn replace(&mut self, difference: &Difference) {
         if let Some(before) = &difference.before {
-            self.remove(before);
+            self.remove(before, difference.removed);
         }
         if let Some(after) = &difference.after {
-            self.insert(after.clone());
+            self.insert(after.clone(), difference.added);
         }
     }
 
-    fn remove(&mut self, instance: &Instance) {
+    fn remove(&mut self, instance: &Instance, digest: Digest) {
         self.by_id.remove(&instance.instance_id);
-        self.digest.remove(instance);
+        self.digest.unmerge(digest);
         let Some(service) = self.services.get_mut(&instance.service) else { return };
         service.instances.remove(&instance.instance_id);
-        service.digest.remove(instance);
+        service.digest.unmerge(digest);
         if service.instances.is_empty() {
             self.services.remove(&instance.service);
         }
     }
 
-    fn insert(&mut self, instance: Arc<Instance>) {
-        self.digest.add(&instance);
+    fn insert(&mut self, instance: Arc<Instance>, digest: Digest) {
+        self.digest.merge(digest);
         let service = self.services.entry(instance.service.clone()).or_default();
-        service.digest.add(&instance);
+        service.digest.merge(digest);
         service.instances.insert(instance.instance_id.clone(), instance.clone());
         self.by_id.insert(instance.instance_id.clone(), instance);
     }
@@ -337,6 +335,11 @@
 }
 
 impl Difference {
+    fn new(before: Option<Arc<Instance>>, after: Option<Arc<Instance>>) -> Self {
+        let (removed, added) = (Digest::of(before.as_deref()), Digest::of(after.as_deref()));
+        Difference { before, after, removed, added }
+    }
+
     /// The services whose children it concerns.
     fn services(&self) -> impl Iterator<Item = &str> {
         [&self.before, &self.after].into_iter().flatten().map(|instance| instance.service.as_str())
--- a/crates/catalog/src/digest.rs
+++ b/crates/catalog/src/digest.rs
@@ -41,6 +41,11 @@
     pub fn merge(&mut self, other: Digest) {
         self.0 = self.0.wrapping_add(other.0);
     }
+
+    /// Takes out all servers of a scope that was merged before.
+    pub fn unmerge(&mut self, other: Digest) {
+        self.0 = self.0.wrapping_sub(other.0);
+    }
 }
 
 impl fmt::Display for Digest {
--- a/crates/catalog/tests/properties.rs
+++ b/crates/catalog/tests/properties.rs
@@ -381,6 +381,18 @@
     assert!(log.since(&Subscription::services(["b"]), Some(1)).unwrap().reset);
 }
 
+/// A generation that was passed over stays unknown, however many others were since.
+#[test]
+fn an_old_jump_is_not_forgotten() {
+    let mut log = ChangeLog::new();
+    let listed = instance(0, 0, 1, Lifecycle::InService);
+    log.apply(Update { generation: 10, reset: true, instances: vec![listed], ..Update::default() }).unwrap();
+    for step in 1..10_000 {
+        log.apply(Update { generation: 10 + step * 2, ..Update::default() }).unwrap();
+        assert!(log.since(&Subscription::All, Some(11)).unwrap().reset, "after {step} jumps");
+    }
+}
+
 /// A whole list that mends a generation without ending it reaches the children that hold this generation.
 #[test]
 fn a_list_repaired_at_its_generation_is_given_whole() {
--- /dev/null
+++ b/crates/catalog/tests/support/source.rs
@@ -0,0 +1,162 @@
+//! The root: the servers as they are, in plain maps, and all that ever changed in them.
+
+use super::server::Server;
+use super::{Micros, SECOND};
+use liftrouter_catalog::{Digest, Instance, Lifecycle, Update};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+pub const SERVERS_PER_SERVICE: usize = 55;
+const FIRST_GENERATION: u64 = 1_000;
+const STARTED_AT_MS: f64 = 1.7e12;
+
+/// One state of a service.
+#[derive(Clone, Copy)]
+pub struct Revision {
+    pub generation: u64,
+    pub at: Micros,
+    pub digest: Digest,
+}
+
+pub struct Source {
+    pub server: Server,
+    generation: u64,
+    lists: BTreeMap<String, BTreeMap<String, Instance>>,
+    revisions: HashMap<String, Vec<Revision>>,
+    services: usize,
+    servers_made: usize,
+}
+
+pub fn service_name(number: usize) -> String {
+    format!("service-{number:04}")
+}
+
+impl Source {
+    pub fn new(services: usize, history: usize) -> Self {
+        let mut source = Source {
+            server: Server::with_history(history),
+            generation: FIRST_GENERATION,
+            lists: BTreeMap::new(),
+            revisions: HashMap::new(),
+            services,
+            servers_made: 0,
+        };
+        for number in 0..services {
+            for _ in 0..SERVERS_PER_SERVICE {
+                let instance = source.new_instance(service_name(number));
+                source.put(instance);
+            }
+            source.note_revision(&service_name(number), 0);
+        }
+        let instances = source.lists.values().flat_map(|list| list.values().cloned()).collect();
+        let whole = Update { generation: FIRST_GENERATION, reset: true, instances, ..Update::default() };
+        source.server.log.apply(whole).expect("a first list is taken");
+        source
+    }
+
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    fn new_instance(&mut self, service: String) -> Instance {
+        self.servers_made += 1;
+        let number = self.servers_made as u32;
+        let [_, high, middle, low] = number.to_be_bytes();
+        Instance {
+            instance_id: format!("i-{number:08x}"),
+            host_port: ([10, high, middle, low], 8080).into(),
+            service,
+            zone: format!("region-{}-zone-{}", number % 2, number % 7),
+            machine_type: "c5.4xlarge".into(),
+            cell: i64::from(number % 9),
+            lifecycle: Lifecycle::InService,
+            weight: Some(1.0),
+            started_at_ms: Some(STARTED_AT_MS + f64::from(number)),
+        }
+    }
+
+    fn put(&mut self, instance: Instance) {
+        let list = self.lists.entry(instance.service.clone()).or_default();
+        list.insert(instance.instance_id.clone(), instance);
+    }
+
+    fn note_revision(&mut self, service: &str, at: Micros) {
+        let digest = Digest::of(self.lists.get(service).into_iter().flat_map(BTreeMap::values));
+        let revision = Revision { generation: self.generation, at, digest };
+        self.revisions.entry(service.to_owned()).or_default().push(revision);
+    }
+
+    /// Changes something about a random server. Gives the services that this concerns.
+    pub fn change(&mut self, now: Micros, random: &mut fastrand::Rng) -> BTreeSet<String> {
+        let service = service_name(random.usize(0..self.services));
+        let Some(list) = self.lists.get(&service).filter(|list| !list.is_empty()) else {
+            return BTreeSet::new();
+        };
+        let chosen = list.values().nth(random.usize(0..list.len())).expect("it is within").clone();
+        let changed = self.changed(chosen, random);
+        self.generation += 1;
+        let mut services = BTreeSet::from([service.clone()]);
+        for instance in &changed {
+            self.lists.get_mut(&service).expect("it was there").remove(&instance.instance_id);
+            services.insert(instance.service.clone());
+            if !instance.is_terminated() {
+                self.put(instance.clone());
+            }
+        }
+        for service in &services {
+            self.note_revision(service, now);
+        }
+        let update = Update { generation: self.generation, instances: changed, ..Update::default() };
+        let applied = self.server.log.apply(update).expect("the source is in order");
+        assert_eq!(applied.services, services);
+        services
+    }
+
+    fn changed(&mut self, chosen: Instance, random: &mut fastrand::Rng) -> Vec<Instance> {
+        match random.u8(0..20) {
+            0..8 => {
+                let weight = Some(chosen.weight.unwrap_or(1.0) + 0.125);
+                vec![Instance { weight, ..chosen }]
+            }
+            8..13 => {
+                let lifecycle = match chosen.lifecycle {
+                    Lifecycle::InService => Lifecycle::Terminating,
+                    _ => Lifecycle::InService,
+                };
+                vec![Instance { lifecycle, ..chosen }]
+            }
+            13..19 => {
+                let replacement = self.new_instance(chosen.service.clone());
+                vec![chosen.terminated(), replacement]
+            }
+            _ => {
+                let service = service_name(random.usize(0..self.services));
+                let weight = Some(chosen.weight.unwrap_or(1.0) + 0.125);
+                vec![Instance { service, weight, ..chosen }]
+            }
+        }
+    }
+
+    /// The servers of one service.
+    pub fn service(&self, service: &str) -> impl Iterator<Item = &Instance> {
+        self.lists.get(service).into_iter().flat_map(BTreeMap::values)
+    }
+
+    /// The states of a service after a generation.
+    pub fn revisions_after(&self, service: &str, generation: u64) -> &[Revision] {
+        let Some(revisions) = self.revisions.get(service) else { return &[] };
+        let first = revisions.partition_point(|revision| revision.generation <= generation);
+        &revisions[first..]
+    }
+
+    /// The digest of a service at a generation.
+    pub fn digest_at(&self, service: &str, generation: u64) -> Digest {
+        let Some(revisions) = self.revisions.get(service) else { return Digest::default() };
+        let after = revisions.partition_point(|revision| revision.generation <= generation);
+        after.checked_sub(1).map_or(Digest::default(), |last| revisions[last].digest)
+    }
+
+    /// The time that a number of changes a second leaves between two.
+    pub fn pause_between_changes(per_second: f64) -> Micros {
+        (SECOND as f64 / per_second) as Micros
+    }
+}
--- /dev/null
+++ b/crates/catalog/tests/tree.rs
@@ -0,0 +1,145 @@
+//! Trees of relays in simulated time: after each fault every replica holds the list of the source, and says until
+//! then where it may be out of date.
+//!
+//! The trees of 7,100 replicas are played by the example `tree`, which prints what was measured.
+
+mod support;
+
+use support::checker::Violation;
+use support::scenario::{play, Outcome, Scenario};
+use support::world::{Broken, Settings};
+
+/// A change is in force within so many milliseconds in 99.9 of 100 cases.
+const IN_FORCE_MS: f64 = 8_000.0;
+
+/// The control traffic of a replica, in bytes a second.
+const LARGEST_TRAFFIC: f64 = 4_096.0;
+
+/// How much more a replica of a tree of ten times the size may receive.
+const FLAT: f64 = 1.2;
+
+/// Plays a scenario and checks what must hold in each.
+fn check(scenario: Scenario, settings: Settings) -> Outcome {
+    let outcome = play(scenario, settings);
+    let shown = &outcome.violations[..outcome.violations.len().min(5)];
+    assert!(
+        shown.is_empty(),
+        "{scenario:?} {settings:?}: {} violations, {shown:?}",
+        outcome.violations.len()
+    );
+    assert!(outcome.lags.count > 0, "{scenario:?} {settings:?}: nothing was measured, {outcome:?}");
+    assert!(outcome.lags.p999 < IN_FORCE_MS, "{scenario:?} {settings:?}: {outcome:?}");
+    assert!(outcome.joins.last < IN_FORCE_MS, "{scenario:?} {settings:?}: {outcome:?}");
+    assert!(outcome.traffic.largest_bytes < LARGEST_TRAFFIC, "{scenario:?} {settings:?}: {outcome:?}");
+    outcome
+}
+
+/// Plays a scenario in trees of 100 replicas with several seeds, and in one of 1,000.
+fn check_sizes(scenario: Scenario) -> Outcome {
+    for seed in 2..=4 {
+        check(scenario, Settings { seed, ..Settings::of_size(100) });
+    }
+    check(scenario, Settings::of_size(1_000))
+}
+
+/// Plays a scenario of an hour in trees of 100 replicas with several seeds.
+fn check_hour(scenario: Scenario, history: usize) -> Outcome {
+    let settings = |seed| Settings { seed, history, ..Settings::of_size(100) };
+    check(scenario, settings(1));
+    check(scenario, settings(2))
+}
+
+#[test]
+fn changes_reach_every_replica() {
+    let outcome = check_sizes(Scenario::Steady);
+    assert_eq!((outcome.repairs, outcome.whole_lists), (0, 0), "nothing is lost: {outcome:?}");
+    assert_eq!(outcome.stale_share, 0.0, "{outcome:?}");
+    assert!(outcome.lags.p50 < 100.0 && outcome.lags.p99 < 1_000.0, "{outcome:?}");
+    assert!(outcome.traffic.mean_messages < 1.0, "one message in two seconds, and the changes: {outcome:?}");
+}
+
+#[test]
+fn a_relay_of_a_zone_dies_in_a_burst() {
+    check_sizes(Scenario::ZoneRelayDies);
+}
+
+#[test]
+fn a_relay_of_a_region_dies_in_a_burst() {
+    check_sizes(Scenario::RegionRelayDies);
+}
+
+#[test]
+fn a_relay_is_slow() {
+    let outcome = check_sizes(Scenario::RelayIsSlow);
+    assert!(outcome.lags.last > 3_000.0, "somebody stays with the slow relay: {outcome:?}");
+}
+
+#[test]
+fn replicas_return_after_an_hour() {
+    let outcome = check_hour(Scenario::ReplicasReturn, Settings::of_size(100).history);
+    assert_eq!(outcome.whole_lists, 0, "the history reaches back: {outcome:?}");
+}
+
+#[test]
+fn replicas_return_after_the_history_has_ended() {
+    const SHORT_HISTORY: usize = 20;
+    let outcome = check_hour(Scenario::ReplicasReturn, SHORT_HISTORY);
+    assert!(outcome.whole_lists > 0, "the history does not reach back: {outcome:?}");
+}
+
+#[test]
+fn a_lost_revision_is_repaired() {
+    let outcome = check_sizes(Scenario::RevisionsLost);
+    assert!(outcome.repairs >= 2, "both are found: {outcome:?}");
+}
+
+#[test]
+fn all_replicas_of_a_zone_join_at_once() {
+    let outcome = check_sizes(Scenario::ZoneJoins);
+    assert!(outcome.joins.count > 100, "{outcome:?}");
+}
+
+#[test]
+fn regions_are_apart_for_an_hour() {
+    let outcome = check_hour(Scenario::RegionsApart, Settings::of_size(100).history);
+    assert!(outcome.stale_share > 0.4, "the other region says so: {outcome:?}");
+}
+
+#[test]
+fn a_tenth_of_the_replicas_restarts() {
+    let outcome = check_sizes(Scenario::TenthRestarts);
+    assert_eq!(outcome.whole_lists, 100, "only these get whole lists: {outcome:?}");
+}
+
+#[test]
+fn the_traffic_of_a_replica_does_not_grow_with_the_tree() {
+    let small = check(Scenario::Steady, Settings::of_size(710)).traffic;
+    let large = check(Scenario::Steady, Settings::of_size(7_100)).traffic;
+    let growth = large.mean_bytes / small.mean_bytes;
+    assert!((1.0 / FLAT..FLAT).contains(&growth), "{small:?} {large:?}");
+}
+
+/// Plays a scenario in a broken tree.
+fn violations(broken: Broken) -> Vec<Violation> {
+    play(broken.shown_by(), Settings { broken, ..Settings::of_size(100) }).violations
+}
+
+#[test]
+fn without_digests_a_lost_delta_is_a_violation() {
+    let violations = violations(Broken::NoDigests);
+    assert!(violations.iter().any(|v| matches!(v, Violation::WrongList { .. })), "{violations:?}");
+    assert!(violations.iter().any(|v| matches!(v, Violation::ListAtEnd { .. })), "{violations:?}");
+}
+
+#[test]
+fn a_relay_that_drops_changes_is_a_violation() {
+    let violations = violations(Broken::RelayDropsChanges);
+    assert!(violations.iter().any(|v| matches!(v, Violation::WrongList { .. })), "{violations:?}");
+    assert!(violations.iter().any(|v| matches!(v, Violation::ListAtEnd { .. })), "{violations:?}");
+}
+
+#[test]
+fn a_replica_that_hides_that_it_is_stale_is_a_violation() {
+    let violations = violations(Broken::NeverStale);
+    assert!(violations.iter().any(|v| matches!(v, Violation::OldRevision { .. })), "{violations:?}");
+}
