--- a/crates/catalog/tests/wire.rs
+++ b/crates/catalog/tests/wire.rs
@@ -2,6 +2,7 @@
 
 use liftrouter_catalog::{Digest, Instance, Lifecycle, Update};
 use proptest::prelude::*;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 fn config() -> ProptestConfig {
@@ -84,6 +85,33 @@
     assert_eq!(Digest::of([]).to_string(), "0000000000000000");
 }
 
+#[test]
+fn every_field_counts_in_the_digest() {
+    let plain = instance("a");
+    let others = [
+        Instance { instance_id: "b".into(), ..plain.clone() },
+        Instance { host_port: "10.0.0.1:8081".parse().unwrap(), ..plain.clone() },
+        Instance { service: "s".into(), ..plain.clone() },
+        Instance { zone: "z2".into(), ..plain.clone() },
+        Instance { machine_type: "n".into(), ..plain.clone() },
+        Instance { cell: 4, ..plain.clone() },
+        Instance { lifecycle: Lifecycle::Terminating, ..plain.clone() },
+        Instance { weight: Some(0.0), ..plain.clone() },
+        Instance { started_at_ms: Some(0.0), ..plain.clone() },
+        // The ends of two fields cannot be told apart but by their lengths.
+        Instance { zone: "z1m".into(), machine_type: String::new(), ..plain.clone() },
+    ];
+    let digests: BTreeSet<String> =
+        others.iter().chain([&plain]).map(|instance| Digest::of([instance]).to_string()).collect();
+    assert_eq!(digests.len(), others.len() + 1);
+}
+
+#[test]
+fn a_terminated_server_counts_for_nothing() {
+    assert_eq!(Digest::of([&instance("a").terminated()]), Digest::default());
+    assert_eq!(Digest::of([&instance("a"), &instance("b").terminated()]), Digest::of([&instance("a")]));
+}
+
 #[test]
 fn only_sixteen_digits_are_a_digest() {
     assert_eq!("00000000000000ff".parse::<Digest>().unwrap().to_string(), "00000000000000ff");
