Relays: signs of life are paced, and a list does not become fresh by being told once more

Change: a message is passed on as a sign of life only where the last was 1.5 s ago; messages carry confirmedAgoMs, from which receivers count; a relay takes children for 2.5 s after upstream's last sign; a root calls discovery sparingly and lets its list expire, whoever answers (--on-request is gone). The test of the agent's root is the same under a new name.

--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -58,9 +58,6 @@
     /// Discovery, for a relay at the root.
     #[arg(long, value_name = "ADDRESS", conflicts_with = "relay", required_unless_present = "relay")]
     discovery: Option<SocketAddr>,
-    /// Discovery is a shared service that is called sparingly, not an agent on this machine.
-    #[arg(long, requires = "discovery")]
-    on_request: bool,
     /// A relay nearer to the root; several stand in for one another.
     #[arg(long, value_name = "ADDRESS")]
     relay: Vec<SocketAddr>,
@@ -72,8 +69,8 @@
 impl RelayArgs {
     fn setup(self) -> RelaySetup {
         let upstream = match self.discovery {
-            Some(address) if self.on_request => Upstream::discovery(address, Delivery::OnRequest),
-            Some(address) => Upstream::discovery(address, Delivery::Pushed),
+            // Sparing calls suit an agent too, and what it tells expires.
+            Some(address) => Upstream::discovery(address, Delivery::OnRequest),
             None => Upstream::relays(self.relay, Subscription::All, self.seed),
         };
         RelaySetup { listen: self.listen, upstream, seed: self.seed }
--- a/crates/daemon/src/membership/host_list.rs
+++ b/crates/daemon/src/membership/host_list.rs
@@ -1,6 +1,6 @@
 //! The list of servers as the host is told it.
 
-use super::sink::ListSink;
+use super::sink::{ListSink, SignOfLife};
 use super::update::{listed, listed_as, log_unreadable};
 use crate::inbox::{Inbox, Listed, News};
 use crate::log;
@@ -40,7 +40,7 @@
         self.revision = None;
     }
 
-    fn heartbeat(&mut self) {}
+    fn heartbeat(&mut self, _: SignOfLife) {}
 
     fn disconnected(&mut self) {
         self.inbox.push(News::ListBroken);
@@ -107,7 +107,7 @@
         self.replica.forget_generation();
     }
 
-    fn heartbeat(&mut self) {}
+    fn heartbeat(&mut self, _: SignOfLife) {}
 
     fn disconnected(&mut self) {
         self.inbox.push(News::ListBroken);
--- a/crates/daemon/src/membership/session.rs
+++ b/crates/daemon/src/membership/session.rs
@@ -2,7 +2,7 @@
 //!
 //! When to call, and for how long a list may be used, is decided in `liftrouter_discovery`; here are the sockets.
 
-use super::sink::ListSink;
+use super::sink::{ListSink, SignOfLife};
 use super::upstream::Upstream;
 use super::watch::{Call, Watch, WatchError};
 use crate::log;
@@ -122,6 +122,7 @@
             subscription: self.upstream.subscription().clone(),
             after: self.sink.revision(),
             timeout: self.follower.call_timeout(),
+            silence: self.follower.silence(),
             open: self.open.clone(),
             answered: self.answered.0.clone(),
         };
@@ -137,9 +138,9 @@
 
     fn opened(&mut self, id: CallId, watch: Watch, update: Option<Update>) {
         match self.apply(update) {
-            Ok(()) => {
+            Ok(sign) => {
                 self.watch = Some(watch);
-                self.alive(Event::WatchOpened);
+                self.alive(Event::WatchOpened, sign);
             }
             Err(why) => self.call_failed(id, &why),
         }
@@ -165,33 +166,37 @@
 
     fn heartbeat(&mut self, update: Option<Update>) {
         match self.apply(update) {
-            Ok(()) => self.alive(Event::Heartbeat),
+            Ok(sign) => self.alive(Event::Heartbeat, sign),
             Err(why) => self.watch_closed(&why),
         }
     }
 
     /// The watch that is followed now gave a sign of life; all calls have become needless.
-    fn alive(&mut self, event: Event) {
+    fn alive(&mut self, event: Event, sign: SignOfLife) {
         self.calls = JoinSet::new();
         self.failures = 0;
-        self.tell(event);
-        self.confirmed = Instant::now();
-        if std::mem::take(&mut self.expired) {
+        self.follower.handle_aged(self.started.elapsed(), event, sign.confirmed_ago());
+        let now = Instant::now();
+        self.confirmed = self.confirmed.max(now.checked_sub(sign.confirmed_ago()).unwrap_or(now));
+        let fresh = self.follower.expires_at().is_none_or(|at| at > self.started.elapsed());
+        if fresh && std::mem::take(&mut self.expired) {
             self.sink.confirmed();
         }
-        self.sink.heartbeat();
+        self.sink.heartbeat(sign);
         if self.sink.revision().is_some() {
             self.heard.notify_one();
         }
     }
 
-    fn apply(&mut self, update: Option<Update>) -> Result<(), WatchError> {
-        let Some(update) = update else { return Ok(()) };
+    fn apply(&mut self, update: Option<Update>) -> Result<SignOfLife, WatchError> {
+        let Some(update) = update else { return Ok(SignOfLife::EmptyLine) };
+        let confirmed_ago = Duration::from_millis(update.confirmed_ago_ms);
         let older = update.reset && self.sink.revision().is_some_and(|held| update.generation < held);
         if older && self.confirmed.elapsed() >= OLDER_LIST_AFTER {
             self.sink.forget_revision();
         }
-        self.sink.apply(update).map_err(WatchError::List)
+        self.sink.apply(update).map_err(WatchError::List)?;
+        Ok(SignOfLife::Message { confirmed_ago })
     }
 
     fn expire(&mut self) {
--- a/crates/daemon/src/membership/sink.rs
+++ b/crates/daemon/src/membership/sink.rs
@@ -3,6 +3,25 @@
 use liftrouter_catalog::{ReplicaError, Update};
 use std::time::Duration;
 
+/// What told that the watch is alive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SignOfLife {
+    /// Nothing has changed.
+    EmptyLine,
+    /// A message; the sender's own list was confirmed so long before.
+    Message { confirmed_ago: Duration },
+}
+
+impl SignOfLife {
+    /// How long ago the list was confirmed at the root.
+    pub fn confirmed_ago(self) -> Duration {
+        match self {
+            SignOfLife::EmptyLine => Duration::ZERO,
+            SignOfLife::Message { confirmed_ago } => confirmed_ago,
+        }
+    }
+}
+
 /// The list that a [`super::session::Session`] keeps up to date.
 pub trait ListSink {
     /// The revision to ask for what came after it; none where the whole list is needed.
@@ -17,8 +36,8 @@
     /// Lets the next whole list be taken whatever its revision.
     fn forget_revision(&mut self);
 
-    /// The watch gave a sign of life, with or without an update, which has been applied.
-    fn heartbeat(&mut self);
+    /// The watch gave a sign of life. An update that came with it has been applied.
+    fn heartbeat(&mut self, sign: SignOfLife);
 
     /// The watch ended and no other is open.
     fn disconnected(&mut self);
--- a/crates/daemon/src/membership/watch.rs
+++ b/crates/daemon/src/membership/watch.rs
@@ -7,7 +7,7 @@
 use hyper::header::{HeaderMap, HOST, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use liftrouter_catalog::{ReplicaError, Subscription, Update};
-use liftrouter_discovery::{CallFailure, CallId, SILENCE};
+use liftrouter_discovery::{CallFailure, CallId};
 use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
@@ -107,6 +107,8 @@
     pub after: Option<u64>,
     /// How long the head of the answer may take.
     pub timeout: Duration,
+    /// How long its first message may take behind the head.
+    pub silence: Duration,
     /// Counts the connection.
     pub open: Rc<Cell<usize>>,
     /// Is told when the head of a good answer has come.
@@ -129,7 +131,7 @@
         // Nobody listens any more where the watch is no longer wanted.
         let _ = self.answered.send(self.id);
         let mut watch = Watch { link, body: answer.into_body(), splitter: Splitter::new(LONGEST) };
-        let first = timeout_at(Instant::now() + SILENCE, watch.next()).await;
+        let first = timeout_at(Instant::now() + self.silence, watch.next()).await;
         let update = first.map_err(|_| WatchError::SilentFromHead)??;
         Ok((watch, update))
     }
--- a/crates/daemon/src/relay/children.rs
+++ b/crates/daemon/src/relay/children.rs
@@ -1,19 +1,24 @@
 //! The list as a relay holds it, and the children that follow it.
 
 use crate::log;
-use crate::membership::sink::ListSink;
+use crate::membership::sink::{ListSink, SignOfLife};
 use bytes::Bytes;
 use liftrouter_catalog::{ApplyError, ChangeLog, ReplicaError, Subscribers, Subscription, Update};
+use liftrouter_discovery::SILENCE;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::{channel, Receiver, Sender};
+use tokio::time::Instant;
 
 /// Messages that may wait for a child. One that reads slower is cut off and comes again by its revision.
 const CHILD_QUEUE: usize = 64;
 /// Each so many signs of life one carries the digest of what the child holds: every 10 s.
 const DIGEST_EVERY: u32 = 5;
+/// A message from upstream is passed on as a sign of life where the last one was passed on so long ago: discovery
+/// writes no empty line while it has changes to tell.
+const SIGN_AFTER: Duration = Duration::from_millis(1_500);
 /// What tells a child that nothing has changed.
 const EMPTY_LINE: &[u8] = b"\n";
 
@@ -24,7 +29,7 @@
     messages: Sender<Bytes>,
     /// What it holds once it has read all its messages.
     revision: u64,
-    /// Something was sent since the last sign of life from upstream.
+    /// Something was sent since the last sign of life.
     told: bool,
 }
 
@@ -35,9 +40,11 @@
     subscribers: Subscribers<ChildId>,
     children: BTreeMap<ChildId, Child>,
     last_child: ChildId,
-    /// Upstream has given a sign of life in time.
-    fresh: bool,
-    heartbeats: u32,
+    /// When the list was last confirmed, as upstream tells.
+    confirmed: Option<Instant>,
+    /// When a sign of life was last passed on, and how many were.
+    last_sign: Option<Instant>,
+    signs: u32,
 }
 
 /// A relay cannot take children while it does not know whether its list is current.
@@ -54,12 +61,12 @@
         subscription: Subscription,
         after: Option<u64>,
     ) -> Result<(ChildId, Receiver<Bytes>), NotFresh> {
-        let first = self.log.since(&subscription, after).filter(|_| self.fresh).ok_or(NotFresh)?;
+        let first = self.log.since(&subscription, after).filter(|_| self.is_fresh()).ok_or(NotFresh)?;
         let (messages, receiver) = channel(CHILD_QUEUE);
         let digest = Some(self.log.digest(&subscription));
         let revision = first.generation;
         // The queue is empty: it takes the first message.
-        let _ = messages.try_send(line(&Update { digest, ..first }));
+        let _ = messages.try_send(self.line(Update { digest, ..first }));
         self.last_child += 1;
         self.children.insert(self.last_child, Child { messages, revision, told: false });
         self.subscribers.subscribe(self.last_child, subscription);
@@ -72,8 +79,9 @@
         self.subscribers.unsubscribe(&child);
     }
 
+    /// Whether upstream gave a sign of life in time.
     pub fn is_fresh(&self) -> bool {
-        self.fresh
+        self.confirmed.is_some_and(|at| at.elapsed() <= SILENCE)
     }
 
     pub fn len(&self) -> usize {
@@ -96,7 +104,7 @@
                 Some(bytes) => bytes.clone(),
                 None => {
                     let Some(update) = self.log.since(subscription, Some(child.revision)) else { continue };
-                    lines.entry(key).or_insert(line(&update)).clone()
+                    lines.entry(key).or_insert(self.line(update)).clone()
                 }
             };
             self.send(id, bytes, Some(applied.generation));
@@ -114,11 +122,26 @@
         child.revision = revision.unwrap_or(child.revision);
     }
 
-    /// Upstream gave a sign of life: each child that was told nothing since the last one gets one too.
-    fn heartbeat(&mut self) {
-        self.fresh = true;
-        self.heartbeats = self.heartbeats.wrapping_add(1);
-        let with_digest = self.heartbeats.is_multiple_of(DIGEST_EVERY);
+    fn confirm(&mut self, ago: Duration) {
+        let now = Instant::now();
+        self.confirmed = self.confirmed.max(Some(now.checked_sub(ago).unwrap_or(now)));
+    }
+
+    /// Whether a sign of life of upstream is to be passed on.
+    fn passes_on(&self, sign: SignOfLife) -> bool {
+        match sign {
+            SignOfLife::EmptyLine => true,
+            SignOfLife::Message { confirmed_ago } => {
+                confirmed_ago.is_zero() && self.last_sign.is_none_or(|at| at.elapsed() >= SIGN_AFTER)
+            }
+        }
+    }
+
+    /// Each child that was told nothing since the last sign of life gets one.
+    fn pass_on_sign(&mut self) {
+        self.last_sign = Some(Instant::now());
+        self.signs = self.signs.wrapping_add(1);
+        let with_digest = self.signs.is_multiple_of(DIGEST_EVERY);
         let ids: Vec<ChildId> = self.children.keys().copied().collect();
         for id in ids {
             if with_digest {
@@ -136,15 +159,18 @@
     fn send_digest(&mut self, id: ChildId) {
         let Some(subscription) = self.subscribers.subscription(&id) else { return };
         let Some(update) = self.log.digest_message(subscription) else { return };
-        self.send(id, line(&update), Some(update.generation));
+        let revision = update.generation;
+        self.send(id, self.line(update), Some(revision));
     }
-}
 
-/// A message as it goes out.
-fn line(update: &Update) -> Bytes {
-    let mut text = serde_json::to_vec(update).unwrap_or_default();
-    text.push(b'\n');
-    text.into()
+    /// A message as it goes out: with the age of this relay's list, which telling it does not make fresh.
+    fn line(&self, mut update: Update) -> Bytes {
+        let age = self.confirmed.map_or(Duration::ZERO, |at| at.elapsed());
+        update.confirmed_ago_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        let mut text = serde_json::to_vec(&update).unwrap_or_default();
+        text.push(b'\n');
+        text.into()
+    }
 }
 
 /// What upstream tells, taken in for the children.
@@ -167,6 +193,7 @@
 
     fn apply(&mut self, mut update: Update) -> Result<(), ReplicaError> {
         let mut children = self.children.borrow_mut();
+        children.confirm(Duration::from_millis(update.confirmed_ago_ms));
         update.reset |= children.log.generation().is_none();
         let whole = update.reset;
         let applied = children.apply(update).map_err(replica_error);
@@ -181,15 +208,18 @@
         self.children.borrow_mut().log.forget_generation();
     }
 
-    fn heartbeat(&mut self) {
-        self.children.borrow_mut().heartbeat();
+    fn heartbeat(&mut self, sign: SignOfLife) {
+        let mut children = self.children.borrow_mut();
+        children.confirm(sign.confirmed_ago());
+        if children.passes_on(sign) {
+            children.pass_on_sign();
+        }
     }
 
     fn disconnected(&mut self) {}
 
     fn expired(&mut self, age: Duration) {
         log("relay", format_args!("stale: upstream gave no sign of life for {:.1} s", age.as_secs_f64()));
-        self.children.borrow_mut().fresh = false;
     }
 
     fn confirmed(&mut self) {
--- a/crates/daemon/tests/common/relays.rs
+++ b/crates/daemon/tests/common/relays.rs
@@ -236,13 +236,8 @@
 }
 
 impl Relay {
-    /// The root, which follows discovery as a shared service.
+    /// The root, which follows discovery.
     pub fn root(discovery: &ServiceDiscovery) -> Relay {
-        Relay::start(&["--discovery".into(), discovery.address.to_string(), "--on-request".into()])
-    }
-
-    /// The root, which follows an agent of discovery on its own machine.
-    pub fn root_of_agent(discovery: &ServiceDiscovery) -> Relay {
         Relay::start(&["--discovery".into(), discovery.address.to_string()])
     }
 
--- a/crates/daemon/tests/relays.rs
+++ b/crates/daemon/tests/relays.rs
@@ -207,9 +207,9 @@
 }
 
 #[test]
-fn the_root_of_an_agent_goes_stale_too() {
+fn the_root_goes_stale_where_discovery_falls_silent() {
     let discovery = ServiceDiscovery::new(&[unreachable_server("s-1", "service-1")]);
-    let root = Relay::root_of_agent(&discovery);
+    let root = Relay::root(&discovery);
     discovery.cut_off();
     wait_until("the relay says that it is stale", || root.up() == 503);
 }
--- a/crates/discovery/src/freshness.rs
+++ b/crates/discovery/src/freshness.rs
@@ -28,14 +28,17 @@
         self.expires_at
     }
 
-    pub fn handle(&mut self, now: Duration, event: Event) {
+    pub fn handle(&mut self, now: Duration, event: Event, confirmed_ago: Duration) {
         let good_for = match self.delivery {
             Delivery::Pushed => return,
             Delivery::OnRequest => EXPIRY,
             Delivery::Relayed => EXPIRY_RELAYED,
         };
         match event {
-            Event::WatchOpened | Event::Heartbeat => self.expires_at = Some(now + good_for),
+            // An older confirmation takes nothing from a newer one.
+            Event::WatchOpened | Event::Heartbeat => {
+                self.expires_at = self.expires_at.max(Some((now + good_for).saturating_sub(confirmed_ago)));
+            }
             Event::Moved => self.expires_at = self.expires_at.map(|at| at.min(now + EXPIRY_AFTER_MOVE)),
             Event::CallStarted(_) | Event::CallAnswered(_) | Event::CallFailed(..) | Event::WatchClosed => {}
         }
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -79,7 +79,12 @@
 
     /// Takes in what happened.
     pub fn handle(&mut self, now: Duration, event: Event) {
-        self.freshness.handle(now, event);
+        self.handle_aged(now, event, Duration::ZERO);
+    }
+
+    /// The same where a sign of life says that the sender's own list was last confirmed so long ago.
+    pub fn handle_aged(&mut self, now: Duration, event: Event, confirmed_ago: Duration) {
+        self.freshness.handle(now, event, confirmed_ago);
         self.schedule.handle(now, event);
     }
 
@@ -88,6 +93,11 @@
         self.schedule.next_call(self.freshness.expires_at())
     }
 
+    /// A watch that gives no sign of life for so long is broken; so is one that begins with none.
+    pub fn silence(&self) -> Duration {
+        self.schedule.silence()
+    }
+
     /// How long a call may take until the head of its answer.
     pub fn call_timeout(&self) -> Duration {
         self.schedule.call_timeout()
--- a/crates/discovery/src/schedule.rs
+++ b/crates/discovery/src/schedule.rs
@@ -58,7 +58,7 @@
         }
     }
 
-    fn silence(&self) -> Duration {
+    pub fn silence(&self) -> Duration {
         match self.delivery {
             Delivery::Pushed | Delivery::OnRequest => SILENCE,
             Delivery::Relayed => SILENCE_RELAYED,
