--- /dev/null
+++ b/crates/scale/src/main.rs
@@ -0,0 +1,4 @@
+//! liftrouter-scale: plays a fleet on loopback, measures slopes, and reports what holds at the operators' size.
+#![forbid(unsafe_code)]
+
+fn main() {}
--- /dev/null
+++ b/crates/scale/src/plot.rs
@@ -0,0 +1,1 @@
+//! To be written.
--- /dev/null
+++ b/crates/scale/src/run/mod.rs
@@ -0,0 +1,1 @@
+//! Scale runs on loopback.
--- /dev/null
+++ b/crates/scale/src/slopes/mod.rs
@@ -0,0 +1,1 @@
+//! How the cost of single parts grows with their input.
