--- a/crates/daemon/src/membership/discovery.rs
+++ b/crates/daemon/src/membership/discovery.rs
@@ -30,6 +30,9 @@
     moved: Notify,
     heard: Notify,
     open: Rc<Cell<usize>>,
+    /// The version of the list that was last taken in, and when it was last confirmed.
+    version: Cell<Option<u64>>,
+    confirmed: Cell<Option<Instant>>,
 }
 
 impl Discovery {
@@ -40,9 +43,21 @@
             moved: Notify::new(),
             heard: Notify::new(),
             open: Rc::default(),
+            version: Cell::new(None),
+            confirmed: Cell::new(None),
         }
     }
 
+    /// The version of the list that was last taken in.
+    pub fn version(&self) -> Option<u64> {
+        self.version.get()
+    }
+
+    /// How long ago the list was last confirmed; none before the first list.
+    pub fn confirmed_ago(&self) -> Option<Duration> {
+        self.confirmed.get().map(|at| at.elapsed())
+    }
+
     /// Whether a list that was known before may be used while none has been heard.
     pub fn trusts_known_list(&self) -> bool {
         self.delivery == Delivery::Pushed
@@ -203,6 +218,7 @@
         self.failures = 0;
         self.tell(event);
         self.confirmed = Instant::now();
+        self.discovery.confirmed.set(Some(self.confirmed));
         if let Some(update) = update {
             self.take_in(update);
         }
@@ -230,6 +246,7 @@
         // What is changed since no version is the whole list.
         update.reset |= self.version.is_none();
         self.version = Some(update.generation);
+        self.discovery.version.set(self.version);
         match self.discovery.delivery {
             Delivery::Pushed => self.push_list(update.reset, update.servers()),
             Delivery::OnRequest => {
--- a/crates/daemon/src/peers/servers.rs
+++ b/crates/daemon/src/peers/servers.rs
@@ -52,6 +52,7 @@
 const SWEEP: Duration = Duration::from_millis(500);
 
 /// What is known of a server, beside what the module keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
     pub address: SocketAddr,
     pub state: ServerState,
@@ -156,6 +157,11 @@
         self.table.borrow_mut().remove(id);
     }
 
+    /// All servers that are known, with where each listens and whether it takes work.
+    pub fn places(&self) -> Vec<(ServerId, Place)> {
+        self.table.borrow().iter().map(|(id, server)| (id.clone(), server.place)).collect()
+    }
+
     pub fn ids(&self) -> Vec<ServerId> {
         self.table.borrow().keys().cloned().collect()
     }
--- /dev/null
+++ b/crates/scale/src/run/hollow/limiter.rs
@@ -0,0 +1,116 @@
+//! One hollow limiter.
+
+use super::list_keeper::{ListKeeper, Observed};
+use super::{HollowArguments, LagLog};
+use crate::run::error::RunError;
+use crate::run::messages::LimiterStatus;
+use crate::run::settings::settings;
+use crate::run::standin::{list_digest, ListedServer};
+use liftrouter::inbox::Inbox;
+use liftrouter::membership::discovery::Discovery;
+use liftrouter::peers::keeper::Keeper;
+use liftrouter::peers::keepers::Keepers;
+use liftrouter::peers::servers::Servers;
+use liftrouter_decision::ServerState;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{interval_at, Instant, MissedTickBehavior};
+
+/// An odd number whose multiples differ in all their bits.
+const SEED_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+/// How long a counted name lives.
+const NAME_LIVES_SECONDS: f64 = 10.0;
+
+/// A limiter whose parts end when it is dropped.
+pub struct HollowLimiter {
+    number: u32,
+    restarts: u32,
+    discovery: Rc<Discovery>,
+    servers: Rc<Servers>,
+    observed: Rc<Observed>,
+    _tasks: JoinSet<()>,
+}
+
+impl HollowLimiter {
+    /// Starts its parts.
+    pub fn start(
+        arguments: &HollowArguments,
+        number: u32,
+        restarts: u32,
+        discovery: SocketAddr,
+        lags: Rc<LagLog>,
+    ) -> Result<Self, RunError> {
+        let settings = settings(number, arguments.peers, arguments.delivery)?;
+        let seed = arguments.seed ^ u64::from(number + 1).wrapping_mul(SEED_STEP) ^ u64::from(restarts);
+        let inbox = Inbox::new();
+        let discovery = Rc::new(Discovery::new(discovery, arguments.delivery.into()));
+        let keeper = Keeper::new(Some(arguments.counter), &settings);
+        let keepers = Keepers::new(vec![keeper], None);
+        // No request comes, so no connection to a server is opened.
+        let servers = Rc::new(Servers::new(&settings, 0));
+        let observed = Rc::new(Observed::new(lags));
+        let keeper = ListKeeper::new(
+            settings,
+            seed,
+            inbox.clone(),
+            keepers.clone(),
+            servers.clone(),
+            observed.clone(),
+        );
+        let mut tasks = JoinSet::new();
+        tasks.spawn_local(discovery.clone().watch(inbox.clone(), seed));
+        tasks.spawn_local(keeper.run());
+        if let Some(period) = period(arguments.counter_calls_per_second) {
+            tasks.spawn_local(call_counter(inbox, keepers, number, period, seed));
+        }
+        Ok(HollowLimiter { number, restarts, discovery, servers, observed, _tasks: tasks })
+    }
+
+    /// How often it was started anew.
+    pub fn restarts(&self) -> u32 {
+        self.restarts
+    }
+
+    /// Notes how old its list is, unless it says that it is out of date.
+    pub fn look_at_age(&self) {
+        if let Some(age) = self.discovery.confirmed_ago() {
+            self.observed.note_age(age);
+        }
+    }
+
+    /// How it stands.
+    pub fn status(&self) -> LimiterStatus {
+        let places = self.servers.places();
+        let digest = list_digest(places.iter().map(|(id, place)| ListedServer {
+            id,
+            address: place.address,
+            in_service: place.state == ServerState::InService,
+        }));
+        LimiterStatus {
+            number: self.number,
+            generation: self.discovery.version(),
+            digest,
+            restarts: self.restarts,
+            ..self.observed.status()
+        }
+    }
+}
+
+/// The time between calls, if there are any.
+fn period(calls_per_second: f64) -> Option<Duration> {
+    Duration::try_from_secs_f64(1.0 / calls_per_second).ok().filter(|period| !period.is_zero())
+}
+
+/// Calls the counter at an even pace, from a random moment on.
+async fn call_counter(inbox: Rc<Inbox>, keepers: Rc<Keepers>, number: u32, period: Duration, seed: u64) {
+    let offset = period.mul_f64(fastrand::Rng::with_seed(seed).f64());
+    let mut ticks = interval_at(Instant::now() + offset, period);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        // Where no call can be made now, the next one will be.
+        let _ = keepers.call(&inbox, format!("hollow-{number}"), 1.0, NAME_LIVES_SECONDS);
+    }
+}
