--- a/crates/scale/src/slopes/plan.rs
+++ b/crates/scale/src/slopes/plan.rs
@@ -61,9 +61,8 @@
     /// Its sizes.
     pub fn sizes(self) -> &'static [usize] {
         match self {
-            Slope::Decision | Slope::ListMemory | Slope::ListBytes => {
-                &[100, 300, 1_000, 3_000, 10_000, 30_000, 61_000]
-            }
+            Slope::Decision => &[100, 300, 1_000, 3_000, 10_000, 30_000, 61_000],
+            Slope::ListMemory | Slope::ListBytes => &[8, 30, 100, 300, 1_000, 3_000, 10_000, 30_000, 61_000],
             Slope::DecisionService => &[10, 30, 55, 100, 300],
             Slope::TenantsW8 => &[30, 100, 203, 1_000],
             Slope::TenantsW64 => &[100, 300, 1_000, 1_623, 10_000],
