--- a/crates/scale/src/run/fleet.rs
+++ b/crates/scale/src/run/fleet.rs
@@ -94,7 +94,7 @@
     servers: RoleProcess,
     /// Lags that processes reported before they were killed.
     former_lags: Vec<PhaseLag>,
-    _folder: ScratchFolder,
+    folder: ScratchFolder,
 }
 
 /// How many processes a fleet has, the coordinator among them.
@@ -132,7 +132,7 @@
             counter,
             servers,
             former_lags: Vec::new(),
-            _folder: ScratchFolder::create()?,
+            folder: ScratchFolder::create()?,
         };
         fleet.start_real(regions[REAL_REGION], counters[1])?;
         fleet.start_hollow()?;
@@ -151,7 +151,7 @@
                 delivery: self.arguments.delivery,
                 seed: self.arguments.seed + index as u64,
             };
-            self.real.push(RealLimiter::start(&setup, self._folder.path(), &self.interrupt)?);
+            self.real.push(RealLimiter::start(&setup, self.folder.path(), &self.interrupt)?);
         }
         if !self.real.is_empty() {
             let addresses: Vec<_> = self.real.iter().map(|real| real.address.to_string()).collect();
--- a/crates/scale/src/run/standin/server_list.rs
+++ b/crates/scale/src/run/standin/server_list.rs
@@ -41,12 +41,6 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// A server that does not take work, and since when.
-struct OutOfService {
-    server: usize,
-    changed_ms: u64,
-}
-
 /// The list, changed by a seed.
 pub struct ServerList {
     log: ChangeLog,
@@ -56,7 +50,9 @@
     order: Vec<usize>,
     next: usize,
     /// Servers that are out of service, the first to be changed again at the front.
-    out_of_service: VecDeque<OutOfService>,
+    out_of_service: VecDeque<usize>,
+    /// When each server was last changed; 0 for never.
+    changed_ms: Vec<u64>,
     changes: u64,
 }
 
@@ -73,6 +69,7 @@
             order,
             next: 0,
             out_of_service: VecDeque::new(),
+            changed_ms: vec![0; servers],
             changes: 0,
         };
         list.apply(true, instances);
@@ -110,15 +107,16 @@
         self.log.since(&Subscription::All, held)
     }
 
-    /// Makes one change: a server drains, one that drained ends, or one that ended is replaced.
+    /// Makes one change: a server drains, one that drained ends, or one that ended is replaced. Every second change
+    /// is one of a server that is out of service, where one has rested: what a limiter is told of a server that is
+    /// gone does not say when that was, so a part of the changes has to be of other kinds at any time.
     pub fn change(&mut self) {
         let now_ms = wall_clock_ms();
-        let rested = |out: &OutOfService| now_ms.saturating_sub(out.changed_ms) >= REST_MS;
-        let server = match self.out_of_service.front().filter(|out| rested(out)) {
-            Some(out) => out.server,
-            None => self.next_in_service(),
-        };
-        self.out_of_service.retain(|out| out.server != server);
+        let out_of_service = self.out_of_service.front().copied();
+        let is_due = |server: &usize| self.changes % 2 == 1 && self.has_rested(*server, now_ms);
+        let server = out_of_service.filter(is_due).unwrap_or_else(|| self.next_in_service(now_ms));
+        self.out_of_service.retain(|out| *out != server);
+        self.changed_ms[server] = now_ms;
         let instance = &mut self.instances[server];
         instance.lifecycle = match instance.lifecycle {
             Lifecycle::InService => Lifecycle::Terminating,
@@ -127,7 +125,7 @@
         };
         instance.started_at_ms = Some(now_ms as f64);
         if instance.lifecycle != Lifecycle::InService {
-            self.out_of_service.push_back(OutOfService { server, changed_ms: now_ms });
+            self.out_of_service.push_back(server);
         }
         let changed = instance.clone();
         self.generation += 1;
@@ -135,17 +133,22 @@
         self.apply(false, vec![changed]);
     }
 
-    fn next_in_service(&mut self) -> usize {
+    fn has_rested(&self, server: usize, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.changed_ms[server]) >= REST_MS
+    }
+
+    /// The next server that takes work and has rested; where there is none, the one that changed first.
+    fn next_in_service(&mut self, now_ms: u64) -> usize {
         let servers = self.order.len();
         for _ in 0..servers {
             let server = self.order[self.next % servers];
             self.next += 1;
-            if self.instances[server].lifecycle == Lifecycle::InService {
+            let in_service = self.instances[server].lifecycle == Lifecycle::InService;
+            if in_service && self.has_rested(server, now_ms) {
                 return server;
             }
         }
-        // None is in service: the one that changed first changes again.
-        self.out_of_service.front().map_or(0, |out| out.server)
+        self.out_of_service.front().copied().unwrap_or(0)
     }
 }
 
