--- a/crates/scale/src/capacity/needs/fleet.rs
+++ b/crates/scale/src/capacity/needs/fleet.rs
@@ -111,6 +111,28 @@
         ])
     }
 
+    /// Messages of the source: to each limiter today, to each control machine with relays.
+    pub(super) fn source(&self) -> Vec<Need> {
+        let (budget, role) = (self.budget, Role::Source);
+        let rate = budget.changes_per_second();
+        let words = self.words();
+        let machines = budget.control.machines;
+        let today = Term::given(rate, &words.changes).times(budget.fleet.limiters, &words.limiters);
+        let relays =
+            Term::given(rate, &words.changes).times(machines, &format!("{} machines", number(machines)));
+        vec![
+            need(role, "changes to each limiter", "messages/s", today, None, (TODAY, Carries::Today)),
+            need(
+                role,
+                "changes to each control machine",
+                "messages/s",
+                relays,
+                None,
+                (BY_SERVICE, Carries::NotYet),
+            ),
+        ]
+    }
+
     /// Connections by services of a limiter.
     pub(super) fn servers(&self) -> Vec<Need> {
         let fleet = &self.budget.fleet;
--- a/crates/scale/src/capacity/needs/limiter.rs
+++ b/crates/scale/src/capacity/needs/limiter.rs
@@ -44,10 +44,10 @@
             ),
             need(
                 role,
-                "a request that waits while a whole list is taken in (at a start or a reset)",
+                "a request that waits while a whole list is taken in: at a start or a reset, so not one in 100",
                 "us",
                 whole,
-                most,
+                None,
                 today,
             ),
             need(role, "processor time of decisions, no control", "us/s", busy, None, today),
--- a/crates/scale/src/capacity/needs/mod.rs
+++ b/crates/scale/src/capacity/needs/mod.rs
@@ -49,6 +49,8 @@
     Counter,
     /// The machines that are set aside for control, and relays on them.
     Control,
+    /// Where configuration comes from.
+    Source,
     /// The servers behind.
     Servers,
     /// A fault as load.
@@ -69,6 +71,7 @@
             Role::Discovery => "discovery and its agents",
             Role::Counter => "counter",
             Role::Control => "control machines and relays",
+            Role::Source => "configuration's source",
             Role::Servers => "servers",
             Role::Fault => "fault as load",
         }
@@ -153,6 +156,7 @@
     all.extend(page.discovery()?);
     all.extend(page.counter()?);
     all.extend(page.control_machines()?);
+    all.extend(page.source());
     all.extend(page.servers());
     all.extend(page.faults()?);
     Ok(all)
--- a/crates/scale/src/capacity/slope_list.rs
+++ b/crates/scale/src/capacity/slope_list.rs
@@ -72,8 +72,6 @@
                 "gossip.sent_datagrams_per_s",
                 "gossip.cpu_us_per_s",
                 "gossip.resident_kb_per_member",
-                "gossip.known_share",
-                "gossip.find_together_s",
             ],
         ),
         (
--- a/crates/scale/src/table.rs
+++ b/crates/scale/src/table.rs
@@ -215,7 +215,7 @@
 }
 
 /// Roles of the summary, in order.
-const ROLES: [Role; 12] = [
+const ROLES: [Role; 13] = [
     Role::RequestPath,
     Role::Routes,
     Role::List,
@@ -226,6 +226,7 @@
     Role::Limiter,
     Role::Discovery,
     Role::Control,
+    Role::Source,
     Role::Servers,
     Role::Fault,
 ];
@@ -235,7 +236,10 @@
     ("bytes", &["B/s", "B"]),
     ("processor time", &["us/s", "us", "% of a core"]),
     ("memory", &["KB"]),
-    ("time and counts", &["s", "ms", "calls/s", "probes/s", "members", "connections", "limiters", "times"]),
+    (
+        "time and counts",
+        &["s", "ms", "calls/s", "messages/s", "probes/s", "members", "connections", "limiters", "times"],
+    ),
 ];
 
 /// One row for each role: its largest need by unit, and its worst verdict.
