--- a/crates/daemon/src/membership/discovery.rs
+++ b/crates/daemon/src/membership/discovery.rs
@@ -8,6 +8,7 @@
 use liftrouter_discovery::Delivery;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 
 /// A handle of the list.
@@ -28,6 +29,21 @@
         Discovery { upstream: Rc::new(upstream), heard: Rc::default() }
     }
 
+    /// The revision of the list at hand.
+    pub fn revision(&self) -> Option<u64> {
+        self.upstream.revision()
+    }
+
+    /// How long ago the list at hand was confirmed; none before the first one.
+    pub fn confirmed_ago(&self) -> Option<Duration> {
+        self.upstream.confirmed_ago()
+    }
+
+    /// Bytes of lists and changes that were received so far, without the framing of HTTP.
+    pub fn received_bytes(&self) -> u64 {
+        self.upstream.received().get()
+    }
+
     /// Whether a list that was known before may be used while none has been heard.
     pub fn trusts_known_list(&self) -> bool {
         self.upstream.delivery() != Delivery::OnRequest
--- a/crates/daemon/src/membership/session.rs
+++ b/crates/daemon/src/membership/session.rs
@@ -124,6 +124,7 @@
             timeout: self.follower.call_timeout(),
             silence: self.follower.silence(),
             open: self.open.clone(),
+            received: self.upstream.received().clone(),
             answered: self.answered.0.clone(),
         };
         self.tell(Event::CallStarted(call.id));
@@ -178,6 +179,7 @@
         self.follower.handle_aged(self.started.elapsed(), event, sign.confirmed_ago());
         let now = Instant::now();
         self.confirmed = self.confirmed.max(now.checked_sub(sign.confirmed_ago()).unwrap_or(now));
+        self.upstream.note(self.sink.revision(), self.confirmed);
         let fresh = self.follower.expires_at().is_none_or(|at| at > self.started.elapsed());
         if fresh && std::mem::take(&mut self.expired) {
             self.sink.confirmed();
--- a/crates/daemon/src/membership/upstream.rs
+++ b/crates/daemon/src/membership/upstream.rs
@@ -5,7 +5,10 @@
 use std::cell::{Cell, RefCell};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Discovery, or relays that stand in for one another.
 pub struct Upstream {
@@ -13,6 +16,11 @@
     subscription: Subscription,
     addresses: RefCell<Vec<SocketAddr>>,
     current: Cell<usize>,
+    /// The revision of the list at hand, and when it was last confirmed.
+    revision: Cell<Option<u64>>,
+    confirmed: Cell<Option<Instant>>,
+    /// Bytes of the bodies of all watches so far.
+    received: Rc<Cell<u64>>,
     /// The address has changed: all that is open or being opened ends.
     moved: Notify,
 }
@@ -40,6 +48,9 @@
             subscription,
             addresses: RefCell::new(addresses),
             current: Cell::new(0),
+            revision: Cell::new(None),
+            confirmed: Cell::new(None),
+            received: Rc::default(),
             moved: Notify::new(),
         }
     }
@@ -63,6 +74,27 @@
         self.current.set((self.current.get() + 1) % self.addresses.borrow().len());
     }
 
+    /// The list at hand has this revision, and was confirmed then.
+    pub fn note(&self, revision: Option<u64>, confirmed: Instant) {
+        self.revision.set(revision);
+        self.confirmed.set(Some(confirmed));
+    }
+
+    /// Counts the bytes of the bodies of all watches.
+    pub fn received(&self) -> &Rc<Cell<u64>> {
+        &self.received
+    }
+
+    /// The revision of the list at hand.
+    pub fn revision(&self) -> Option<u64> {
+        self.revision.get()
+    }
+
+    /// How long ago the list at hand was confirmed; none before the first one.
+    pub fn confirmed_ago(&self) -> Option<Duration> {
+        self.confirmed.get().map(|at| at.elapsed())
+    }
+
     /// Calls another discovery from now on.
     pub fn move_to(&self, address: SocketAddr) {
         if self.delivery == Delivery::Relayed || self.address() == address {
--- a/crates/daemon/src/membership/watch.rs
+++ b/crates/daemon/src/membership/watch.rs
@@ -76,6 +76,7 @@
     link: Link,
     body: Incoming,
     splitter: Splitter,
+    received: Rc<Cell<u64>>,
 }
 
 impl Watch {
@@ -92,7 +93,9 @@
             }
             let frame = self.link.drive(self.body.frame()).await;
             let frame = frame.ok_or(WatchError::Ended)?.map_err(WatchError::Broke)?;
-            self.splitter.push(frame.data_ref().map_or(&[][..], |data| data));
+            let data = frame.data_ref().map_or(&[][..], |data| data);
+            self.received.set(self.received.get() + data.len() as u64);
+            self.splitter.push(data);
         }
     }
 }
@@ -111,6 +114,8 @@
     pub silence: Duration,
     /// Counts the connection.
     pub open: Rc<Cell<usize>>,
+    /// Counts the bytes of bodies.
+    pub received: Rc<Cell<u64>>,
     /// Is told when the head of a good answer has come.
     pub answered: UnboundedSender<CallId>,
 }
@@ -130,7 +135,8 @@
         }
         // Nobody listens any more where the watch is no longer wanted.
         let _ = self.answered.send(self.id);
-        let mut watch = Watch { link, body: answer.into_body(), splitter: Splitter::new(LONGEST) };
+        let (body, received) = (answer.into_body(), self.received.clone());
+        let mut watch = Watch { link, body, splitter: Splitter::new(LONGEST), received };
         let first = timeout_at(Instant::now() + self.silence, watch.next()).await;
         let update = first.map_err(|_| WatchError::SilentFromHead)??;
         Ok((watch, update))
