Scale: lists by service through a tree of relays, and rows of before and after

Need: the run could only play today's whole lists.

Change: `--lists service` starts two roots and some leaves, hollow limiters follow one service each through them by the real code, real ones by an operator's file; `--fault relay-dies`. Limiters count what they receive, the checker compares each with its service's list. The test that these options are refused is replaced by one that they are refused without `--lists service`, and by two that play them: everybody ends on its service's list through three faults, and a message lost above the relays is found. Rows of the page for both ways; lists by service are off by default rather than absent.

--- a/crates/scale/src/capacity/needs/faults.rs
+++ b/crates/scale/src/capacity/needs/faults.rs
@@ -26,7 +26,7 @@
         let apart =
             self.at_allowance(changes_bytes(missed, &format!("{} changes in an hour", number(missed)))?);
         let of_service = self.list_bytes((zone / budget.fleet.services).round())?;
-        let not_yet = (BY_SERVICE, Carries::NotYet);
+        let by_relays = (BY_SERVICE, Carries::WhenTurnedOn);
         Ok(vec![
             need(
                 role,
@@ -108,7 +108,7 @@
                 "s",
                 self.at_allowance(of_service),
                 in_force,
-                not_yet,
+                by_relays,
             ),
         ])
     }
--- a/crates/scale/src/capacity/needs/fleet.rs
+++ b/crates/scale/src/capacity/needs/fleet.rs
@@ -66,7 +66,7 @@
     }
 
     pub(super) fn control_machines(&self) -> Result<Vec<Need>, RecordError> {
-        let (budget, role, not_yet) = (self.budget, Role::Control, (BY_SERVICE, Carries::NotYet));
+        let (budget, role, by_relays) = (self.budget, Role::Control, (BY_SERVICE, Carries::WhenTurnedOn));
         let (limiters, machines) = (budget.fleet.limiters, budget.control.machines);
         let children = Term::given(
             limiters / machines,
@@ -80,18 +80,40 @@
         let reach = self.term(("service-limiters", "lag.p999_ms", "limiters"), limiters)?;
         let discovery = self.term(("whole-limiters", "discovery.cpu_percent", "limiters"), limiters)?;
         let relays = self.term(("service-limiters", "discovery.cpu_percent", "limiters"), limiters)?;
+        let reach_by_servers =
+            self.term(("service-servers", "lag.p999_ms", "servers"), budget.fleet.servers)?;
+        let relays_cpu = self.term(("service-limiters", "relay.cpu_percent", "limiters"), limiters)?;
+        let relay_memory =
+            self.term(("service-servers", "relay.largest_rss_mb", "servers"), budget.fleet.servers)?;
         let all_cores = None;
         Ok(vec![
-            need(role, "limiters that one machine serves", "limiters", children, None, not_yet),
-            need(role, "changes sent on by one machine, at most", "B/s", out, None, not_yet),
+            need(role, "limiters that one machine serves", "limiters", children, None, by_relays),
+            need(role, "changes sent on by one machine, at most", "B/s", out, None, by_relays),
             need(
                 role,
                 "a change everywhere for 99.9 in 100, lists by service",
                 "ms",
                 reach,
                 budget.configuration.in_force_s * MILLISECOND_US,
-                not_yet,
+                by_relays,
             ),
+            need(
+                role,
+                "a change everywhere for 99.9 in 100, lists by service, by listed servers (100 limiters)",
+                "ms",
+                reach_by_servers,
+                budget.configuration.in_force_s * MILLISECOND_US,
+                by_relays,
+            ),
+            need(
+                role,
+                "processor time of all relays together",
+                "% of a core",
+                relays_cpu,
+                all_cores,
+                by_relays,
+            ),
+            need(role, "memory of the largest relay, by listed servers", "MB", relay_memory, None, by_relays),
             need(
                 role,
                 "discovery's processor time, whole lists",
@@ -106,7 +128,7 @@
                 "% of a core",
                 relays,
                 all_cores,
-                not_yet,
+                by_relays,
             ),
         ])
     }
@@ -128,7 +150,7 @@
                 "messages/s",
                 relays,
                 None,
-                (BY_SERVICE, Carries::NotYet),
+                (BY_SERVICE, Carries::WhenTurnedOn),
             ),
         ]
     }
--- a/crates/scale/src/capacity/needs/limiter.rs
+++ b/crates/scale/src/capacity/needs/limiter.rs
@@ -65,7 +65,7 @@
                 "ms",
                 self.term(by_service, limiters)?,
                 allowed,
-                (BY_SERVICE, Carries::NotYet),
+                (BY_SERVICE, Carries::WhenTurnedOn),
             ),
         ])
     }
@@ -159,7 +159,7 @@
 
     /// The same with lists by service: one service a limiter, and fifty.
     pub(super) fn list_by_service(&self) -> Result<Vec<Need>, RecordError> {
-        let (budget, role, not_yet) = (self.budget, Role::List, (BY_SERVICE, Carries::NotYet));
+        let (budget, role, by_relays) = (self.budget, Role::List, (BY_SERVICE, Carries::WhenTurnedOn));
         let in_force = budget.configuration.in_force_s;
         let one = budget.servers_per_service().round();
         let some = one * budget.assumed.services_of_a_limiter;
@@ -174,7 +174,7 @@
                 "s",
                 self.at_allowance(self.list_bytes(one)?),
                 in_force,
-                not_yet,
+                by_relays,
             ),
             need(
                 role,
@@ -182,7 +182,7 @@
                 "s",
                 self.at_allowance(self.list_bytes(some)?),
                 in_force,
-                not_yet,
+                by_relays,
             ),
             need(
                 role,
@@ -190,7 +190,7 @@
                 "us/s",
                 surveys(survey("slope-decision-service")(one)?),
                 cpu,
-                not_yet,
+                by_relays,
             ),
             need(
                 role,
@@ -198,7 +198,7 @@
                 "us/s",
                 surveys(survey("slope-decision")(some)?),
                 cpu,
-                not_yet,
+                by_relays,
             ),
             need(
                 role,
@@ -206,7 +206,7 @@
                 "KB",
                 peak,
                 budget.memory_kb(),
-                not_yet,
+                by_relays,
             ),
         ])
     }
@@ -225,6 +225,8 @@
         let all = &self.spreads()[2];
         let all_tenants = self.term((all.record, "tenants.resident_kb", "tenants"), all.tenants)?;
         let on_loopback = |quantity| self.term(("whole-servers", quantity, "servers"), servers);
+        let behind_relays = |quantity| self.term(("service-servers", quantity, "servers"), servers);
+        let by_relays = (BY_SERVICE, Carries::WhenTurnedOn);
         let percent = budget.limiter.core_share * 100.0;
         let (most_memory, most_bytes) = (budget.memory_kb(), budget.limiter.bytes_per_second);
         Ok(vec![
@@ -269,6 +271,22 @@
                 most_memory,
                 today,
             ),
+            need(
+                role,
+                "processor time of a hollow limiter on loopback, lists by service, by listed servers (100 limiters)",
+                "% of a core",
+                behind_relays("limiter.cpu_percent")?,
+                percent,
+                by_relays,
+            ),
+            need(
+                role,
+                "memory of a hollow limiter on loopback, lists by service, by listed servers",
+                "KB",
+                behind_relays("limiter.rss_kb")?,
+                most_memory,
+                by_relays,
+            ),
         ])
     }
 }
--- a/crates/scale/src/capacity/slope_list.rs
+++ b/crates/scale/src/capacity/slope_list.rs
@@ -90,6 +90,9 @@
     let mut list: Vec<SlopeKey> = groups.into_iter().flat_map(keys).collect();
     list.extend(keys(("whole-servers", "servers", fleet.servers, &WHOLE_QUANTITIES)));
     list.extend(keys(("service-limiters", "limiters", fleet.limiters, &WHOLE_QUANTITIES)));
+    list.extend(keys(("service-limiters", "limiters", fleet.limiters, &["relay.cpu_percent"])));
+    list.extend(keys(("service-servers", "servers", fleet.servers, &WHOLE_QUANTITIES)));
+    list.extend(keys(("service-servers", "servers", fleet.servers, &["relay.largest_rss_mb"])));
     list
 }
 
--- a/crates/scale/src/run/arguments.rs
+++ b/crates/scale/src/run/arguments.rs
@@ -6,6 +6,8 @@
 
 /// The operators' size: servers in each service.
 const SERVERS_PER_SERVICE: usize = 55;
+/// The operators' size: limiters for each of 16 machines.
+const LIMITERS_PER_RELAY: usize = 450;
 
 /// What is played, and within what bounds.
 #[derive(Args, Clone, Debug)]
@@ -58,9 +60,9 @@
     /// What limiters follow.
     #[arg(long, value_enum, default_value_t = Lists::Whole)]
     pub lists: Lists,
-    /// Relays between discovery and the limiters.
-    #[arg(long, default_value_t = 0)]
-    pub relays: usize,
+    /// Leaves of the tree of relays, with `--lists service`; without it, one for each 450 limiters, two at least.
+    #[arg(long)]
+    pub relays: Option<usize>,
     /// How lists reach the limiters.
     #[arg(long, value_enum, default_value_t = DeliveryKind::OnRequest)]
     pub delivery: DeliveryKind,
@@ -96,6 +98,14 @@
         self.services.unwrap_or(servers / SERVERS_PER_SERVICE).clamp(1, servers.max(1))
     }
 
+    /// Leaves of the tree of relays for so many limiters; none where limiters follow discovery.
+    pub fn leaf_relays(&self, limiters: usize) -> usize {
+        match self.lists {
+            Lists::Whole => 0,
+            Lists::Service => self.relays.unwrap_or(limiters.div_ceil(LIMITERS_PER_RELAY).max(2)),
+        }
+    }
+
     /// Whether the number of servers is varied rather than that of limiters.
     pub fn varies_servers(&self) -> bool {
         self.servers.len() > 1
--- a/crates/scale/src/run/checker.rs
+++ b/crates/scale/src/run/checker.rs
@@ -72,7 +72,7 @@
 pub struct Checker {
     /// Hollow limiters.
     pub hollow: usize,
-    /// Real limiters.
+    /// Real limiters that follow discovery itself.
     pub real: usize,
     /// A list may be used for so long after its last confirmation without a word.
     pub stale_bound_ms: f64,
@@ -127,6 +127,10 @@
 }
 
 fn difference(source: &DiscoveryStatus, status: &LimiterStatus) -> Option<Offence> {
+    if let Some(service) = status.service {
+        // Generations that change nothing of its service reach it with the next digest: its servers are what counts.
+        return (source.service_digests.get(service) != Some(&status.digest)).then_some(Offence::Servers);
+    }
     if status.generation != Some(source.generation) {
         return Some(Offence::Generation { held: status.generation, source: source.generation });
     }
--- a/crates/scale/src/run/coordinator.rs
+++ b/crates/scale/src/run/coordinator.rs
@@ -4,7 +4,7 @@
 use super::checker::{Checker, Offender};
 use super::error::RunError;
 use super::fleet::{process_count, Fleet, FleetSize, FleetUsage};
-use super::messages::{Command, DiscoveryStatus, HollowStatus, RegionStatus, Traffic};
+use super::messages::{Command, DiscoveryStatus, HollowStatus, LimiterStatus, RegionStatus, Traffic};
 use super::process::Interrupt;
 use super::report::{merged_lags, offenders, table, PartPoints};
 use super::standin::discovery::REAL_REGION;
@@ -62,15 +62,14 @@
 }
 
 fn check_available(arguments: &RunArguments) -> Result<(), RunError> {
-    let unavailable = |what| Err(RunError::NotAvailable { what });
     if arguments.lists == Lists::Service {
-        return unavailable("--lists service");
+        return Ok(());
     }
-    if arguments.relays > 0 {
-        return unavailable("--relays");
+    if arguments.relays.is_some() {
+        return Err(RunError::NeedsRelays { what: "--relays" });
     }
     if arguments.faults.contains(&Fault::RelayDies) {
-        return unavailable("--fault relay-dies");
+        return Err(RunError::NeedsRelays { what: "--fault relay-dies" });
     }
     Ok(())
 }
@@ -159,6 +158,24 @@
     usage: FleetUsage,
     discovery: DiscoveryStatus,
     counter: Traffic,
+    /// Sums over the hollow limiters.
+    received: Received,
+}
+
+/// What limiters received of lists, by their own count.
+#[derive(Clone, Copy, Default)]
+struct Received {
+    bytes: u64,
+    messages: u64,
+}
+
+impl Received {
+    fn by(limiters: &[LimiterStatus]) -> Self {
+        Received {
+            bytes: limiters.iter().map(|limiter| limiter.list_bytes).sum(),
+            messages: limiters.iter().map(|limiter| limiter.messages).sum(),
+        }
+    }
 }
 
 impl Snapshot {
@@ -168,6 +185,7 @@
             usage: fleet.usage()?,
             discovery: fleet.discovery_status()?,
             counter: fleet.counter_traffic()?,
+            received: Received::by(&fleet.limiters()?),
         })
     }
 
@@ -198,7 +216,8 @@
     ) -> Self {
         let checker = Checker {
             hollow: size.hollow,
-            real: arguments.real,
+            // Those behind relays are not seen by discovery.
+            real: if arguments.lists == Lists::Whole { arguments.real } else { 0 },
             stale_bound_ms: arguments.stale_bound_seconds * 1_000.0,
         };
         Part { arguments, size, repetition, interrupt, progress, checker, found: Vec::new() }
@@ -256,7 +275,7 @@
         let before = Snapshot::take(fleet)?;
         self.wait(fleet, seconds(self.arguments.seconds))?;
         let after = Snapshot::take(fleet)?;
-        self.add_usage(fleet, &before, &after, points);
+        self.add_usage(fleet, &before, &after, points)?;
         self.add_traffic(&before, &after, points);
         if let Some(load) = fleet.load_status()? {
             points.add("request.added_p50_ms", load.added_p50_ms);
@@ -268,7 +287,13 @@
         Ok(())
     }
 
-    fn add_usage(&self, fleet: &Fleet, before: &Snapshot, after: &Snapshot, points: &mut PartPoints<'_>) {
+    fn add_usage(
+        &self,
+        fleet: &Fleet,
+        before: &Snapshot,
+        after: &Snapshot,
+        points: &mut PartPoints<'_>,
+    ) -> Result<(), RunError> {
         let elapsed = (after.at - before.at).as_secs_f64();
         let limiters = self.size.hollow.max(1) as f64;
         for ((role, earlier), (_, later)) in before.usage.roles().into_iter().zip(after.usage.roles()) {
@@ -280,8 +305,13 @@
                 points.add("limiter.cpu_percent", cpu_percent / limiters);
             }
         }
+        if let Some(largest) = fleet.largest_relay()? {
+            points.add("relay.largest_rss_mb", largest.resident_mb);
+            points.add("relay.largest_peak_mb", largest.peak_mb);
+        }
         let limiters_mb = after.usage.hollow.resident_mb - fleet.empty_hollow_mb();
         points.add("limiter.rss_kb", limiters_mb * 1024.0 / limiters);
+        Ok(())
     }
 
     fn add_traffic(&self, before: &Snapshot, after: &Snapshot, points: &mut PartPoints<'_>) {
@@ -289,15 +319,24 @@
         let per_limiter = |count: u64| count as f64 / elapsed / self.size.hollow.max(1) as f64;
         let grown =
             |value: fn(&RegionStatus) -> u64| after.hollow_regions(value) - before.hollow_regions(value);
-        let list_in = grown(|region| region.traffic.bytes_out);
-        let list_out = grown(|region| region.traffic.bytes_in);
+        let (body, messages) = (
+            after.received.bytes - before.received.bytes,
+            after.received.messages - before.received.messages,
+        );
+        points.add("limiter.list_body_bytes_per_s", per_limiter(body));
+        // Behind relays discovery does not see the limiters: their own count is taken, without HTTP's framing.
+        let behind_relays = self.arguments.lists == Lists::Service;
+        let seen =
+            |by_discovery: u64, by_limiters: u64| if behind_relays { by_limiters } else { by_discovery };
+        let list_in = seen(grown(|region| region.traffic.bytes_out), body);
+        let list_out = seen(grown(|region| region.traffic.bytes_in), 0);
         let counter_in = after.counter.bytes_out - before.counter.bytes_out;
         let counter_out = after.counter.bytes_in - before.counter.bytes_in;
         points.add("limiter.bytes_in_per_s", per_limiter(list_in + counter_in));
         points.add("limiter.bytes_out_per_s", per_limiter(list_out + counter_out));
         points.add("limiter.list_bytes_in_per_s", per_limiter(list_in));
         points.add("limiter.counter_bytes_in_per_s", per_limiter(counter_in));
-        points.add("limiter.messages_in_per_s", per_limiter(grown(|region| region.messages)));
+        points.add("limiter.messages_in_per_s", per_limiter(seen(grown(|region| region.messages), messages)));
         points.add(
             "limiter.counter_calls_per_s",
             per_limiter(after.counter.requests - before.counter.requests),
@@ -444,7 +483,10 @@
             fleet.tell_first_group(&Command::DelayReading(milliseconds(STRAGGLING)))?;
             Ok(STRAGGLING)
         }
-        Fault::RelayDies => Err(RunError::NotAvailable { what: "--fault relay-dies" }),
+        Fault::RelayDies => {
+            fleet.kill_relay();
+            Ok(AFTERMATH)
+        }
     }
 }
 
--- a/crates/scale/src/run/error.rs
+++ b/crates/scale/src/run/error.rs
@@ -6,9 +6,9 @@
 /// Why a run ended early.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
-    /// What was asked for is not built yet.
-    #[error("{what} is not available yet")]
-    NotAvailable {
+    /// What was asked for needs relays.
+    #[error("{what} needs --lists service")]
+    NeedsRelays {
         /// What was asked for.
         what: &'static str,
     },
--- a/crates/scale/src/run/fleet.rs
+++ b/crates/scale/src/run/fleet.rs
@@ -7,7 +7,9 @@
 };
 use super::process::{Interrupt, RoleProcess, Usage};
 use super::real::{RealLimiter, RealSetup, ScratchFolder};
+use super::relays::RelayTree;
 use super::standin::discovery::REAL_REGION;
+use super::standin::service_name;
 use clap::ValueEnum;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -28,6 +30,8 @@
 #[derive(Debug)]
 struct HollowPlan {
     discovery: Vec<SocketAddr>,
+    relays: Vec<SocketAddr>,
+    services: usize,
     counter: SocketAddr,
     peers: usize,
 }
@@ -55,19 +59,22 @@
     pub hollow: Usage,
     /// All real limiters.
     pub real: Usage,
+    /// All relays.
+    pub relay: Usage,
     /// The load generator.
     pub load: Usage,
 }
 
 impl FleetUsage {
     /// Each role and its name.
-    pub fn roles(&self) -> [(&'static str, Usage); 6] {
+    pub fn roles(&self) -> [(&'static str, Usage); 7] {
         [
             ("discovery", self.discovery),
             ("counter", self.counter),
             ("servers", self.servers),
             ("hollow", self.hollow),
             ("real", self.real),
+            ("relay", self.relay),
             ("load", self.load),
         ]
     }
@@ -89,6 +96,7 @@
     load: Option<RoleProcess>,
     real: Vec<RealLimiter>,
     hollow: Vec<HollowGroup>,
+    relays: Option<RelayTree>,
     discovery: RoleProcess,
     counter: RoleProcess,
     servers: RoleProcess,
@@ -99,7 +107,10 @@
 
 /// How many processes a fleet has, the coordinator among them.
 pub fn process_count(arguments: &RunArguments, hollow: usize) -> usize {
-    1 + OTHER_PROCESSES + arguments.real + hollow.div_ceil(usize::from(arguments.hollow_per_process))
+    let limiters = hollow + arguments.real;
+    let leaves = arguments.leaf_relays(limiters);
+    let relays = if leaves > 0 { leaves + REAL_REGION } else { 0 };
+    1 + OTHER_PROCESSES + relays + arguments.real + hollow.div_ceil(usize::from(arguments.hollow_per_process))
 }
 
 impl Fleet {
@@ -115,8 +126,18 @@
         let counters = ready(&counter, interrupt)?;
         let discovery = RoleProcess::spawn("discovery", &discovery_arguments(arguments, size, port))?;
         let regions = ready(&discovery, interrupt)?;
+        let limiters = size.hollow + arguments.real;
+        let relays = match arguments.leaf_relays(limiters) {
+            0 => None,
+            leaves => {
+                let program = daemon_program(arguments)?;
+                Some(RelayTree::start(&program, &regions[..REAL_REGION], leaves, interrupt)?)
+            }
+        };
         let hollow_plan = HollowPlan {
             discovery: regions[..REAL_REGION].to_vec(),
+            relays: relays.as_ref().map_or(Vec::new(), RelayTree::addresses),
+            services: arguments.services_of(size.servers),
             counter: counters[0],
             peers: size.hollow + arguments.real,
         };
@@ -128,6 +149,7 @@
             load: None,
             real: Vec::new(),
             hollow: Vec::new(),
+            relays,
             discovery,
             counter,
             servers,
@@ -149,6 +171,10 @@
                 discovery,
                 counter,
                 delivery: self.arguments.delivery,
+                relays: self.relays.as_ref().map(|tree| {
+                    let service = (self.size.hollow + index) % self.hollow_plan.services;
+                    (tree.addresses(), service_name(service))
+                }),
                 seed: self.arguments.seed + index as u64,
             };
             self.real.push(RealLimiter::start(&setup, self.folder.path(), &self.interrupt)?);
@@ -196,10 +222,15 @@
             option("peers", self.hollow_plan.peers),
             option("discovery", addresses.join(",")),
             option("counter", self.hollow_plan.counter),
+            option("services", self.hollow_plan.services),
             option("counter-calls-per-second", arguments.counter_calls_per_second),
             option("delivery", delivery.as_ref().map_or("on-request", |value| value.get_name())),
             option("seed", arguments.seed),
         ];
+        if !self.hollow_plan.relays.is_empty() {
+            let relays: Vec<_> = self.hollow_plan.relays.iter().map(SocketAddr::to_string).collect();
+            options.push(option("relays", relays.join(",")));
+        }
         if first == 0 && arguments.has_straggler() {
             options.push("--straggler".to_owned());
         }
@@ -225,6 +256,18 @@
         Ok(())
     }
 
+    /// Ends one relay.
+    pub fn kill_relay(&mut self) {
+        if let Some(tree) = &mut self.relays {
+            tree.kill_leaf();
+        }
+    }
+
+    /// The most that one relay has used, if there are relays.
+    pub fn largest_relay(&self) -> Result<Option<Usage>, RunError> {
+        self.relays.as_ref().map(RelayTree::largest).transpose()
+    }
+
     /// How many processes of hollow limiters there are.
     pub fn group_count(&self) -> usize {
         self.hollow.len()
@@ -308,6 +351,7 @@
             servers: Usage::of(self.servers.id())?,
             hollow: Usage::of_all(self.hollow.iter().map(|group| group.process.id()))?,
             real: Usage::of_all(self.real.iter().map(RealLimiter::id))?,
+            relay: self.relays.as_ref().map(RelayTree::usage).transpose()?.unwrap_or_default(),
             load: Usage::of_all(self.load.iter().map(RoleProcess::id))?,
         };
         let (used_mb, limit_mb) = (usage.resident_mb(), self.arguments.memory_mb);
--- a/crates/scale/src/run/hollow/limiter.rs
+++ b/crates/scale/src/run/hollow/limiter.rs
@@ -5,12 +5,13 @@
 use crate::run::error::RunError;
 use crate::run::messages::LimiterStatus;
 use crate::run::settings::settings;
-use crate::run::standin::{list_digest, ListedServer};
+use crate::run::standin::{list_digest, service_name, ListedServer};
 use liftrouter::inbox::Inbox;
 use liftrouter::membership::discovery::Discovery;
 use liftrouter::peers::keeper::Keeper;
 use liftrouter::peers::keepers::Keepers;
 use liftrouter::peers::servers::Servers;
+use liftrouter_catalog::Subscription;
 use liftrouter_decision::ServerState;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,6 +27,8 @@
 /// A limiter whose parts end when it is dropped.
 pub struct HollowLimiter {
     number: u32,
+    /// What it follows, where that is not all.
+    service: Option<usize>,
     restarts: u32,
     discovery: Rc<Discovery>,
     servers: Rc<Servers>,
@@ -45,7 +48,14 @@
         let settings = settings(number, arguments.peers, arguments.delivery)?;
         let seed = arguments.seed ^ u64::from(number + 1).wrapping_mul(SEED_STEP) ^ u64::from(restarts);
         let inbox = Inbox::new();
-        let discovery = Rc::new(Discovery::new(discovery, arguments.delivery.into()));
+        let service = (!arguments.relays.is_empty()).then_some(number as usize % arguments.services.max(1));
+        let discovery = Rc::new(match service {
+            Some(service) => {
+                let subscription = Subscription::services([service_name(service)]);
+                Discovery::by_relays(arguments.relays.clone(), subscription, seed)
+            }
+            None => Discovery::new(discovery, arguments.delivery.into()),
+        });
         let keeper = Keeper::new(Some(arguments.counter), &settings);
         let keepers = Keepers::new(vec![keeper], None);
         // No request comes, so no connection to a server is opened.
@@ -65,7 +75,7 @@
         if let Some(period) = period(arguments.counter_calls_per_second) {
             tasks.spawn_local(call_counter(inbox, keepers, number, period, seed));
         }
-        Ok(HollowLimiter { number, restarts, discovery, servers, observed, _tasks: tasks })
+        Ok(HollowLimiter { number, service, restarts, discovery, servers, observed, _tasks: tasks })
     }
 
     /// How often it was started anew.
@@ -92,6 +102,8 @@
             number: self.number,
             generation: self.discovery.revision(),
             digest,
+            service: self.service,
+            list_bytes: self.discovery.received_bytes(),
             restarts: self.restarts,
             ..self.observed.status()
         }
--- a/crates/scale/src/run/hollow/mod.rs
+++ b/crates/scale/src/run/hollow/mod.rs
@@ -38,6 +38,12 @@
     /// Discovery; limiters with odd numbers ask the second address.
     #[arg(long, value_delimiter = ',', required = true)]
     pub discovery: Vec<SocketAddr>,
+    /// Relays, in place of discovery.
+    #[arg(long, value_delimiter = ',')]
+    pub relays: Vec<SocketAddr>,
+    /// Services; with relays, each limiter follows one of them.
+    #[arg(long, default_value_t = 1)]
+    pub services: usize,
     /// The counter.
     #[arg(long)]
     pub counter: SocketAddr,
--- a/crates/scale/src/run/messages.rs
+++ b/crates/scale/src/run/messages.rs
@@ -64,6 +64,8 @@
     pub generation: u64,
     /// The digest of its list, see [`super::standin::list_digest`].
     pub digest: u64,
+    /// The same of each service.
+    pub service_digests: Vec<u64>,
     /// Changes that were made.
     pub changes: u64,
     /// Changes of a burst that are still to be made.
@@ -112,6 +114,10 @@
     pub generation: Option<u64>,
     /// The digest of the list that it goes by.
     pub digest: u64,
+    /// The number of the service that it follows; none where it follows all.
+    pub service: Option<usize>,
+    /// Bytes of lists that it received, without the framing of HTTP.
+    pub list_bytes: u64,
     /// How often it was started anew.
     pub restarts: u32,
     /// Messages with servers in them.
--- a/crates/scale/src/run/mod.rs
+++ b/crates/scale/src/run/mod.rs
@@ -21,6 +21,7 @@
 pub mod messages;
 mod process;
 mod real;
+mod relays;
 mod report;
 mod role;
 mod settings;
--- a/crates/scale/src/run/process.rs
+++ b/crates/scale/src/run/process.rs
@@ -4,6 +4,7 @@
 use super::messages::{Command, Report};
 use procfs::process::Process;
 use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
 use std::process::{Child, ChildStdin, Command as Program, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
@@ -13,6 +14,8 @@
 
 /// How often a wait looks whether the run was interrupted.
 const LOOK: Duration = Duration::from_millis(50);
+/// How long a process may take until it listens.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long a process may take to answer a command.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -63,6 +66,36 @@
         self.0.id()
     }
 
+    /// Waits until it logs that it listens, and gives the address behind these words. Its log is read to the end
+    /// from then on, so that it never waits for somebody to read it.
+    pub fn address_after(
+        &mut self,
+        words: &'static str,
+        role: &str,
+        interrupt: &Interrupt,
+    ) -> Result<SocketAddr, RunError> {
+        let ended = || RunError::ProcessEnded { role: role.to_owned() };
+        let log = self.0.stderr.take().ok_or_else(ended)?;
+        let (sender, addresses) = channel();
+        thread::spawn(move || {
+            for line in BufReader::new(log).lines().map_while(Result::ok) {
+                if let Some(address) = line.strip_prefix(words).and_then(|text| text.parse().ok()) {
+                    let _ = sender.send(address);
+                }
+            }
+        });
+        let end = Instant::now() + START_TIMEOUT;
+        while Instant::now() < end {
+            interrupt.check()?;
+            match addresses.recv_timeout(LOOK) {
+                Ok(address) => return Ok(address),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Err(ended()),
+            }
+        }
+        Err(RunError::NoAnswer { role: role.to_owned(), waited: START_TIMEOUT })
+    }
+
     /// The program, for its pipes.
     pub fn child(&mut self) -> &mut Child {
         &mut self.0
--- a/crates/scale/src/run/real.rs
+++ b/crates/scale/src/run/real.rs
@@ -6,20 +6,12 @@
 use super::settings::wire_settings;
 use serde_json::json;
 use std::fs;
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command as Program, Stdio};
-use std::sync::mpsc::{channel, RecvTimeoutError};
-use std::thread;
-use std::time::{Duration, Instant};
 
 /// What a limiter logs when it listens.
 const LISTENING: &str = "liftrouter: listening on ";
-/// How long it may take until it listens.
-const START_TIMEOUT: Duration = Duration::from_secs(20);
-/// How often a wait looks whether the run was interrupted.
-const LOOK: Duration = Duration::from_millis(50);
 /// What the program may use by its own account.
 const MEMORY_MB: f64 = 128.0;
 const SOCKETS: u32 = 1_024;
@@ -39,6 +31,8 @@
     pub counter: SocketAddr,
     /// How lists reach it.
     pub delivery: DeliveryKind,
+    /// Relays in place of discovery, and the service that it follows there.
+    pub relays: Option<(Vec<SocketAddr>, String)>,
     /// Seed of what it draws.
     pub seed: u64,
 }
@@ -85,29 +79,16 @@
         for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
             program.env_remove(name);
         }
+        if let Some((relays, service)) = &setup.relays {
+            let operator = folder.join(format!("limiter-{}.toml", setup.number));
+            fs::write(&operator, relay_section(relays, service))
+                .map_err(RunError::io("cannot write a configuration"))?;
+            program.arg("--operator").arg(operator);
+        }
         program.env("ROUTER_CONFIG", &file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = OwnedChild::spawn(&mut program)?;
-        let ended = || RunError::ProcessEnded { role: "limiter".to_owned() };
-        let log = child.child().stderr.take().ok_or_else(ended)?;
-        let (sender, addresses) = channel();
-        // The log is read to its end, so that the limiter never waits for somebody to read it.
-        thread::spawn(move || {
-            for line in BufReader::new(log).lines().map_while(Result::ok) {
-                if let Some(address) = line.strip_prefix(LISTENING).and_then(|text| text.parse().ok()) {
-                    let _ = sender.send(address);
-                }
-            }
-        });
-        let end = Instant::now() + START_TIMEOUT;
-        while Instant::now() < end {
-            interrupt.check()?;
-            match addresses.recv_timeout(LOOK) {
-                Ok(address) => return Ok(RealLimiter { child, address }),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return Err(ended()),
-            }
-        }
-        Err(RunError::NoAnswer { role: "limiter".to_owned(), waited: START_TIMEOUT })
+        let address = child.address_after(LISTENING, "limiter", interrupt)?;
+        Ok(RealLimiter { child, address })
     }
 
     /// Its process id.
@@ -126,3 +107,9 @@
     })
     .to_string()
 }
+
+/// The operator's own file of a limiter behind relays.
+fn relay_section(relays: &[SocketAddr], service: &str) -> String {
+    let addresses: Vec<String> = relays.iter().map(|address| format!("{:?}", address.to_string())).collect();
+    format!("[relays]\naddresses = [{}]\nservices = [{service:?}]\n", addresses.join(", "))
+}
--- a/crates/scale/src/run/standin/discovery.rs
+++ b/crates/scale/src/run/standin/discovery.rs
@@ -153,6 +153,7 @@
         DiscoveryStatus {
             generation: list.generation(),
             digest: list.digest(),
+            service_digests: list.service_digests(),
             changes: list.changes(),
             pending: self.pending.get(),
             regions: self.regions.iter().map(region).collect(),
--- a/crates/scale/src/run/standin/mod.rs
+++ b/crates/scale/src/run/standin/mod.rs
@@ -7,4 +7,4 @@
 mod server_list;
 pub mod servers;
 
-pub use server_list::{list_digest, wall_clock_ms, ListedServer};
+pub use server_list::{list_digest, service_name, wall_clock_ms, ListedServer};
--- a/crates/scale/src/run/standin/server_list.rs
+++ b/crates/scale/src/run/standin/server_list.rs
@@ -35,6 +35,11 @@
     servers.into_iter().map(hash).fold(0, u64::wrapping_add)
 }
 
+/// The name of a service.
+pub fn service_name(number: usize) -> String {
+    format!("service-{number:04}")
+}
+
 /// Milliseconds since 1970.
 pub fn wall_clock_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -44,6 +49,7 @@
 /// The list, changed by a seed.
 pub struct ServerList {
     log: ChangeLog,
+    services: usize,
     generation: u64,
     instances: Vec<Instance>,
     /// Servers in the order in which they are taken out of service.
@@ -64,6 +70,7 @@
         fastrand::Rng::with_seed(seed).shuffle(&mut order);
         let mut list = ServerList {
             log: ChangeLog::new(),
+            services: services.max(1),
             generation: FIRST_GENERATION,
             instances: instances.clone(),
             order,
@@ -95,7 +102,18 @@
 
     /// The digest of the list now.
     pub fn digest(&self) -> u64 {
-        list_digest(self.log.instances(&Subscription::All).map(|instance| ListedServer {
+        self.digest_of(&Subscription::All)
+    }
+
+    /// The digest of each service.
+    pub fn service_digests(&self) -> Vec<u64> {
+        (0..self.services)
+            .map(|number| self.digest_of(&Subscription::services([service_name(number)])))
+            .collect()
+    }
+
+    fn digest_of(&self, subscription: &Subscription) -> u64 {
+        list_digest(self.log.instances(subscription).map(|instance| ListedServer {
             id: &instance.instance_id,
             address: instance.host_port,
             in_service: instance.lifecycle == Lifecycle::InService,
@@ -158,7 +176,7 @@
     Instance {
         instance_id: format!("server-{number:05}"),
         host_port: SocketAddr::from((address, port)),
-        service: format!("service-{:04}", number % services),
+        service: service_name(number % services),
         zone: ZONES[number % ZONES.len()].to_owned(),
         machine_type: "std".to_owned(),
         cell: 1,
--- a/crates/scale/tests/run.rs
+++ b/crates/scale/tests/run.rs
@@ -37,11 +37,17 @@
     per_process: u32,
     changes_per_second: f64,
     memory_mb: f64,
+    max_processes: f64,
 }
 
 impl Default for SmallFleet {
     fn default() -> Self {
-        SmallFleet { per_process: 5, changes_per_second: 2.0, memory_mb: MEMORY_MB }
+        SmallFleet {
+            per_process: 5,
+            changes_per_second: 2.0,
+            memory_mb: MEMORY_MB,
+            max_processes: MAX_PROCESSES,
+        }
     }
 }
 
@@ -52,7 +58,7 @@
         command.args(["--burst", "100", "--seed", "7", "--quiet"]);
         command.arg("--hollow-per-process").arg(self.per_process.to_string());
         command.arg("--changes-per-second").arg(self.changes_per_second.to_string());
-        command.arg("--max-processes").arg(MAX_PROCESSES.to_string());
+        command.arg("--max-processes").arg(self.max_processes.to_string());
         command.arg("--memory-mb").arg(self.memory_mb.to_string());
         command.arg("--daemon").arg(daemon()).args(more);
         command.stdout(Stdio::piped()).stderr(Stdio::piped());
@@ -138,14 +144,53 @@
 }
 
 #[test]
-fn what_is_not_built_yet_is_said() {
-    for option in [["--lists", "service"], ["--fault", "relay-dies"], ["--relays", "2"]] {
+fn what_needs_relays_is_said() {
+    for option in [["--fault", "relay-dies"], ["--relays", "2"]] {
         let output = play(&option);
         assert_eq!(output.status.code(), Some(2));
-        assert!(stderr(&output).contains("not available yet"), "{}", stderr(&output));
+        assert!(stderr(&output).contains("needs --lists service"), "{}", stderr(&output));
     }
 }
 
+/// Two roots and two leaves.
+const RELAYS: f64 = 4.0;
+
+fn play_behind_relays(fleet: SmallFleet, more: &[&str]) -> Output {
+    let fleet = SmallFleet { max_processes: MAX_PROCESSES + RELAYS, ..fleet };
+    fleet.play(&[&["--lists", "service", "--relays", "2"], more].concat())
+}
+
+#[test]
+fn behind_relays_everybody_ends_on_the_list_of_its_service() {
+    let file = scratch("behind-relays.json");
+    let out = file.to_str().expect("utf-8");
+    let faults = ["--fault", "relay-dies", "--fault", "restart-tenth", "--fault", "stall"];
+    let output = play_behind_relays(
+        SmallFleet::default(),
+        &[&["--seconds", "2", "--warm-up", "0.5", "--settle-seconds", "20", "--out", out], &faults[..]]
+            .concat(),
+    );
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    let record = read_record(&file);
+    assert_eq!(value(&record, "check.offenders"), 0.0);
+    // Each limiter is told the changes of its own service alone: a quarter of them, more or less.
+    let changes = value(&record, "source.changes_count");
+    assert!(value(&record, "limiter.changes_most_count") < 0.6 * changes, "{changes} changes");
+    assert!(value(&record, "limiter.changes_least_count") > 0.0);
+    assert_eq!(value(&record, "limiter.whole_lists_most_count"), 1.0, "no whole list but the first");
+}
+
+#[test]
+fn a_message_lost_above_the_relays_is_found_by_the_checker() {
+    let fleet = SmallFleet { changes_per_second: 0.0, ..SmallFleet::default() };
+    let output = play_behind_relays(
+        fleet,
+        &["--seconds", "0.5", "--warm-up", "0", "--settle-seconds", "5", "--lose-one-message"],
+    );
+    assert_eq!(output.status.code(), Some(1), "{}", stderr(&output));
+    assert!(stderr(&output).contains("holds other servers"), "{}", stderr(&output));
+}
+
 /// Processes that a process has started and that run.
 fn children_of(parent: u32) -> Vec<i32> {
     let all = all_processes().expect("the list of processes");
