--- a/crates/scale/src/budget.rs
+++ b/crates/scale/src/budget.rs
@@ -217,6 +217,11 @@
         /// Multiple of the largest measured size.
         stretch: f64,
     },
+    /// The line falls to nothing or below: it follows noise.
+    BelowZero {
+        /// Need to budget, as the line has it.
+        ratio: f64,
+    },
     /// The interval lies on both sides.
     TooWide {
         /// Need to budget, by the middle of the interval.
@@ -233,6 +238,9 @@
         if stretch > LONGEST_STRETCH {
             return Verdict::NotKnown(Unknown::TooFar { ratio, stretch });
         }
+        if need.value < 0.0 {
+            return Verdict::NotKnown(Unknown::BelowZero { ratio });
+        }
         if need.high() <= budget {
             Verdict::Holds { ratio }
         } else if need.low() > budget {
@@ -246,7 +254,9 @@
     pub fn ratio(self) -> Option<f64> {
         match self {
             Verdict::Holds { ratio } | Verdict::DoesNot { ratio } => Some(ratio),
-            Verdict::NotKnown(Unknown::TooFar { ratio, .. } | Unknown::TooWide { ratio }) => Some(ratio),
+            Verdict::NotKnown(
+                Unknown::TooFar { ratio, .. } | Unknown::BelowZero { ratio } | Unknown::TooWide { ratio },
+            ) => Some(ratio),
             Verdict::NotKnown(Unknown::NotRun | Unknown::NoBudget) => None,
         }
     }
@@ -274,6 +284,9 @@
                 let (ratio, stretch) = (ratio_text(*ratio), ratio_text(*stretch));
                 write!(f, "not known, {ratio} by a line stretched {stretch} times")
             }
+            Verdict::NotKnown(Unknown::BelowZero { .. }) => {
+                write!(f, "not known: the line falls below zero")
+            }
             Verdict::NotKnown(Unknown::TooWide { ratio }) => {
                 write!(f, "not known, {}: the interval holds the budget", ratio_text(*ratio))
             }
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -161,6 +161,8 @@
     assert_eq!(Verdict::of(need(30.0, 1.0), Some(10.0), 10.0), Verdict::DoesNot { ratio: 3.0 });
     let unsure = Verdict::NotKnown(Unknown::TooWide { ratio: 1.1 });
     assert_eq!(Verdict::of(need(11.0, 2.0), Some(10.0), 1.0), unsure);
+    let below = Verdict::NotKnown(Unknown::BelowZero { ratio: -0.5 });
+    assert_eq!(Verdict::of(need(-5.0, 1.0), Some(10.0), 1.0), below);
     let far = Verdict::NotKnown(Unknown::TooFar { ratio: 0.1, stretch: 11.0 });
     assert_eq!(Verdict::of(need(1.0, 0.0), Some(10.0), 11.0), far);
     assert_eq!(Verdict::of(None, Some(10.0), 1.0), Verdict::NotKnown(Unknown::NotRun));
