--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -73,7 +73,7 @@
             Some(address) => Upstream::discovery(address, Delivery::OnRequest),
             None => Upstream::relays(self.relay, Subscription::All, self.seed),
         };
-        RelaySetup { listen: self.listen, upstream, seed: self.seed }
+        RelaySetup { listen: self.listen, upstream: upstream.for_relay(), seed: self.seed }
     }
 }
 
--- a/crates/daemon/src/membership/session.rs
+++ b/crates/daemon/src/membership/session.rs
@@ -122,6 +122,7 @@
             subscription: self.upstream.subscription().clone(),
             after: self.sink.revision(),
             timeout: self.follower.call_timeout(),
+            longest_message: self.upstream.longest_message(),
             silence: self.follower.silence(),
             open: self.open.clone(),
             received: self.upstream.received().clone(),
--- a/crates/daemon/src/membership/upstream.rs
+++ b/crates/daemon/src/membership/upstream.rs
@@ -10,10 +10,16 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// The longest message that a limiter reads; a list of some twenty thousand servers fits.
+const LONGEST_MESSAGE: usize = 4 << 20;
+/// The same of a relay, which holds the whole list: some 300,000 servers.
+const LONGEST_MESSAGE_OF_RELAY: usize = 64 << 20;
+
 /// Discovery, or relays that stand in for one another.
 pub struct Upstream {
     delivery: Delivery,
     subscription: Subscription,
+    longest_message: usize,
     addresses: RefCell<Vec<SocketAddr>>,
     current: Cell<usize>,
     /// The revision of the list at hand, and when it was last confirmed.
@@ -46,6 +52,7 @@
         Upstream {
             delivery,
             subscription,
+            longest_message: LONGEST_MESSAGE,
             addresses: RefCell::new(addresses),
             current: Cell::new(0),
             revision: Cell::new(None),
@@ -55,6 +62,17 @@
         }
     }
 
+    /// The same for a relay, which follows whole lists of any size.
+    pub fn for_relay(mut self) -> Self {
+        self.longest_message = LONGEST_MESSAGE_OF_RELAY;
+        self
+    }
+
+    /// The longest message that is read, in bytes.
+    pub fn longest_message(&self) -> usize {
+        self.longest_message
+    }
+
     pub fn delivery(&self) -> Delivery {
         self.delivery
     }
--- a/crates/daemon/src/membership/watch.rs
+++ b/crates/daemon/src/membership/watch.rs
@@ -16,9 +16,6 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::{timeout, timeout_at, Instant};
 
-/// The longest message; a list of some ten thousand servers fits.
-const LONGEST: usize = 4 << 20;
-
 /// Why a call came to nothing, or a watch ended.
 #[derive(Debug)]
 pub enum WatchError {
@@ -110,6 +107,8 @@
     pub after: Option<u64>,
     /// How long the head of the answer may take.
     pub timeout: Duration,
+    /// The longest message that is read, in bytes.
+    pub longest_message: usize,
     /// How long its first message may take behind the head.
     pub silence: Duration,
     /// Counts the connection.
@@ -136,7 +135,7 @@
         // Nobody listens any more where the watch is no longer wanted.
         let _ = self.answered.send(self.id);
         let (body, received) = (answer.into_body(), self.received.clone());
-        let mut watch = Watch { link, body, splitter: Splitter::new(LONGEST), received };
+        let mut watch = Watch { link, body, splitter: Splitter::new(self.longest_message), received };
         let first = timeout_at(Instant::now() + self.silence, watch.next()).await;
         let update = first.map_err(|_| WatchError::SilentFromHead)??;
         Ok((watch, update))
--- a/crates/daemon/tests/relays.rs
+++ b/crates/daemon/tests/relays.rs
@@ -106,6 +106,21 @@
 }
 
 /// A child whose services are quiet gets the signs of life that are due by the clock, however many changes there are.
+/// Larger than the longest message of a limiter, 4 MiB: the relays of a fleet hold what no limiter does.
+#[test]
+fn a_list_that_no_limiter_could_read_reaches_children_by_service() {
+    const SERVERS: usize = 30_000;
+    const SERVICES: usize = 500;
+    let servers: Vec<_> = (0..SERVERS)
+        .map(|n| unreachable_server(&format!("server-{n:05}"), &format!("service-{}", n % SERVICES)))
+        .collect();
+    let discovery = ServiceDiscovery::new(&servers);
+    let root = Relay::root(&discovery);
+    let zone = Relay::zone(&[root.address], 1);
+    let list = RawChild::follow(zone.address, None, &["service-7"]).first();
+    assert_eq!((list.reset, list.instances.len()), (true, SERVERS / SERVICES));
+}
+
 #[test]
 fn a_change_of_another_service_costs_a_child_no_message() {
     let own = unreachable_server("s-own", "service-1");
