--- a/crates/scale/src/run/fleet.rs
+++ b/crates/scale/src/run/fleet.rs
@@ -109,8 +109,16 @@
 pub fn process_count(arguments: &RunArguments, hollow: usize) -> usize {
     let limiters = hollow + arguments.real;
     let leaves = arguments.leaf_relays(limiters);
-    let relays = if leaves > 0 { leaves + REAL_REGION } else { 0 };
-    1 + OTHER_PROCESSES + relays + arguments.real + hollow.div_ceil(usize::from(arguments.hollow_per_process))
+    1 + OTHER_PROCESSES
+        + leaves
+        + root_relays(leaves)
+        + arguments.real
+        + hollow.div_ceil(usize::from(arguments.hollow_per_process))
+}
+
+/// Roots of a tree with so many leaves: one in each region of discovery, where there are leaves for both.
+fn root_relays(leaves: usize) -> usize {
+    leaves.min(REAL_REGION)
 }
 
 impl Fleet {
@@ -131,7 +139,8 @@
             0 => None,
             leaves => {
                 let program = daemon_program(arguments)?;
-                Some(RelayTree::start(&program, &regions[..REAL_REGION], leaves, interrupt)?)
+                let discovery = &regions[..root_relays(leaves)];
+                Some(RelayTree::start(&program, discovery, leaves, interrupt)?)
             }
         };
         let hollow_plan = HollowPlan {
