--- a/crates/scale/src/capacity/needs/faults.rs
+++ b/crates/scale/src/capacity/needs/faults.rs
@@ -85,14 +85,6 @@
                 cpu,
                 today,
             ),
-            need(
-                role,
-                "a zone returns in one message, spread over 8 s: processor time of the list",
-                "us/s",
-                self.decision("whole_list.cpu_us")?.over(in_force, &self.words().in_force),
-                cpu,
-                today,
-            ),
             need(role, "a zone returns: its servers at the allowance", "s", zone_bytes, in_force, today),
             need(
                 role,
