Tests wait for the connection itself, and an accept in a test ends after a time

It counted descriptors to learn that the limiter connects to the server, but the limiter may only just have accepted the test's own client: one descriptor more as well. Stopped by SIGSTOP in that moment it opens no connection, and the test's accept waits for it for ever (lines 241 to 250 of attempts.rs). what_is_still_connecting... in leaving.rs, which failed once on a busy machine, counted the same way: the descriptor of an earlier call could still be open when it counted.

Change: both look for the connection itself in the table of the kernel (SYN sent to the server's address), with probes off so that it can only be the request's; accept in a test fails after the patience of all waits. Nothing that they assert is changed.

--- a/crates/daemon/tests/attempts.rs
+++ b/crates/daemon/tests/attempts.rs
@@ -237,17 +237,19 @@
     let (listener, address, filled) = never_up();
     let mut settings = patient();
     settings["limits"]["connect-timeout-s"] = json!(10.0);
+    // The only connection that is opened is that of the request.
+    settings["limits"]["may-probe"] = json!(false);
     let limiter = over(settings, &[address]);
-    let (mut client, before) = (limiter.client(), limiter.descriptors());
+    let mut client = limiter.client();
     client.send(&post("once", "x"));
-    wait_until("it connects", || limiter.descriptors() > before);
+    wait_until("it connects", || being_opened(address) == 1);
     limiter.pause();
     let filled_ports: Vec<_> = filled.iter().map(|s| s.local_addr().expect("address").port()).collect();
     drop(filled);
     let listener: TcpListener = listener.into();
     // Those that filled the queue first; then the one of the limiter, when the kernel tries again.
     let mut early = loop {
-        let (stream, from) = listener.accept().expect("accept");
+        let (stream, from) = accept(&listener);
         if !filled_ports.contains(&from.port()) {
             break stream;
         }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -273,6 +273,33 @@
     (socket, address, filled)
 }
 
+/// Connections to this address that are being opened: nobody has answered them yet.
+pub fn being_opened(address: SocketAddr) -> usize {
+    const SYN_SENT: &str = "02";
+    let SocketAddr::V4(address) = address else { panic!("{address} is not IPv4") };
+    let remote = format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of connections");
+    let is_opened = |line: &&str| {
+        let mut columns = line.split_whitespace().skip(2);
+        columns.next() == Some(&remote) && columns.next() == Some(SYN_SENT)
+    };
+    table.lines().filter(is_opened).count()
+}
+
+/// Accepts a connection, or fails after [`PATIENCE`].
+pub fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    let mut accepted = None;
+    listener.set_nonblocking(true).expect("set");
+    wait_until("a connection comes up", || {
+        accepted = listener.accept().ok();
+        accepted.is_some()
+    });
+    listener.set_nonblocking(false).expect("set");
+    let (stream, from) = accepted.expect("a connection");
+    stream.set_nonblocking(false).expect("set");
+    (stream, from)
+}
+
 /// Plays all cases at once; each has a limiter of its own.
 pub fn at_once<C: Send>(cases: impl IntoIterator<Item = C>, play: impl Fn(C) + Sync) {
     thread::scope(|scope| {
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -34,16 +34,16 @@
         let (listener, address, filled) = never_up();
         let mut settings = patient(may_cancel);
         settings["limits"]["connect-timeout-s"] = json!(10.0);
-        // Without a counter: its connections are not to be counted here.
+        // The only connection that is opened is that of the request.
+        settings["limits"]["may-probe"] = json!(false);
         let discovery = discovery(vec![instance("s-0", address, "in_service")]);
         let limiter = Limiter::with_known(&update(9, true, &[]), settings, discovery.address);
         wait_until("the limiter is up", || limiter.up());
-        let before = limiter.descriptors();
         let mut client = limiter.client();
         client.send(&post("bind", "x"));
-        wait_until("it connects", || limiter.descriptors() >= before + 2);
+        wait_until("it connects", || being_opened(address) == 1);
         client.close();
-        wait_until("the attempt is dropped", || limiter.descriptors() <= before);
+        wait_until("the attempt is dropped", || being_opened(address) == 0);
         // Now connections come up: the kernel tries again within a second or two, if anybody wants it to.
         drop(filled);
         listener.set_nonblocking(true).expect("set");
