Scale: the straggler is late behind relays too, and a limiter that is stale there says so

And a limiter whose list from relays expired said it in the log alone, where the checker cannot see it.

Change: the delay line stands before what the straggler asks, relays included (the last relay: the first one is what `relay-dies` ends). The session's mark that a list expired moved to the upstream, where Discovery::is_expired shows it.

--- a/crates/daemon/src/membership/discovery.rs
+++ b/crates/daemon/src/membership/discovery.rs
@@ -39,6 +39,11 @@
         self.upstream.confirmed_ago()
     }
 
+    /// Whether the list at hand was not confirmed in time; the log says so too.
+    pub fn is_expired(&self) -> bool {
+        self.upstream.is_expired()
+    }
+
     /// Bytes of lists and changes that were received so far, without the framing of HTTP.
     pub fn received_bytes(&self) -> u64 {
         self.upstream.received().get()
--- a/crates/daemon/src/membership/session.rs
+++ b/crates/daemon/src/membership/session.rs
@@ -41,8 +41,6 @@
     answered: (UnboundedSender<CallId>, UnboundedReceiver<CallId>),
     /// When the list at hand was last confirmed.
     confirmed: Instant,
-    /// The list has not been confirmed in time.
-    expired: bool,
     /// Calls in a row that came to nothing.
     failures: u32,
     /// Connections that are open.
@@ -63,7 +61,6 @@
             last_call: 0,
             answered: unbounded_channel(),
             confirmed: now,
-            expired: false,
             failures: 0,
             open: Rc::default(),
         }
@@ -74,7 +71,7 @@
         let upstream = self.upstream.clone();
         loop {
             let next_call = self.follower.next_call();
-            let expiry = self.follower.expires_at().filter(|_| !self.expired);
+            let expiry = self.follower.expires_at().filter(|_| !upstream.is_expired());
             let started = self.started;
             let sign = async {
                 match &mut self.watch {
@@ -182,7 +179,7 @@
         self.confirmed = self.confirmed.max(now.checked_sub(sign.confirmed_ago()).unwrap_or(now));
         self.upstream.note(self.sink.revision(), self.confirmed);
         let fresh = self.follower.expires_at().is_none_or(|at| at > self.started.elapsed());
-        if fresh && std::mem::take(&mut self.expired) {
+        if fresh && self.upstream.set_expired(false) {
             self.sink.confirmed();
         }
         self.sink.heartbeat(sign);
@@ -203,7 +200,7 @@
     }
 
     fn expire(&mut self) {
-        self.expired = true;
+        self.upstream.set_expired(true);
         self.sink.expired(self.confirmed.elapsed());
     }
 }
--- a/crates/daemon/src/membership/upstream.rs
+++ b/crates/daemon/src/membership/upstream.rs
@@ -25,6 +25,8 @@
     /// The revision of the list at hand, and when it was last confirmed.
     revision: Cell<Option<u64>>,
     confirmed: Cell<Option<Instant>>,
+    /// The list at hand was not confirmed in time.
+    expired: Cell<bool>,
     /// Bytes of the bodies of all watches so far.
     received: Rc<Cell<u64>>,
     /// The address has changed: all that is open or being opened ends.
@@ -57,6 +59,7 @@
             current: Cell::new(0),
             revision: Cell::new(None),
             confirmed: Cell::new(None),
+            expired: Cell::new(false),
             received: Rc::default(),
             moved: Notify::new(),
         }
@@ -98,6 +101,16 @@
         self.confirmed.set(Some(confirmed));
     }
 
+    /// The list at hand was not confirmed in time, or is confirmed again. Gives what held before.
+    pub fn set_expired(&self, expired: bool) -> bool {
+        self.expired.replace(expired)
+    }
+
+    /// Whether the list at hand was not confirmed in time.
+    pub fn is_expired(&self) -> bool {
+        self.expired.get()
+    }
+
     /// Counts the bytes of the bodies of all watches.
     pub fn received(&self) -> &Rc<Cell<u64>> {
         &self.received
--- a/crates/scale/src/run/hollow/limiter.rs
+++ b/crates/scale/src/run/hollow/limiter.rs
@@ -24,6 +24,14 @@
 /// How long a counted name lives.
 const NAME_LIVES_SECONDS: f64 = 10.0;
 
+/// Whom a limiter asks for its list.
+pub enum ListUpstream {
+    /// Discovery, for the whole list.
+    Discovery(SocketAddr),
+    /// Relays, for one service.
+    Relays(Vec<SocketAddr>),
+}
+
 /// A limiter whose parts end when it is dropped.
 pub struct HollowLimiter {
     number: u32,
@@ -42,20 +50,21 @@
         arguments: &HollowArguments,
         number: u32,
         restarts: u32,
-        discovery: SocketAddr,
+        upstream: ListUpstream,
         lags: Rc<LagLog>,
     ) -> Result<Self, RunError> {
         let settings = settings(number, arguments.peers, arguments.delivery)?;
         let seed = arguments.seed ^ u64::from(number + 1).wrapping_mul(SEED_STEP) ^ u64::from(restarts);
         let inbox = Inbox::new();
-        let service = (!arguments.relays.is_empty()).then_some(number as usize % arguments.services.max(1));
-        let discovery = Rc::new(match service {
-            Some(service) => {
+        let (discovery, service) = match upstream {
+            ListUpstream::Relays(relays) => {
+                let service = number as usize % arguments.services.max(1);
                 let subscription = Subscription::services([service_name(service)]);
-                Discovery::by_relays(arguments.relays.clone(), subscription, seed)
+                (Discovery::by_relays(relays, subscription, seed), Some(service))
             }
-            None => Discovery::new(discovery, arguments.delivery.into()),
-        });
+            ListUpstream::Discovery(address) => (Discovery::new(address, arguments.delivery.into()), None),
+        };
+        let discovery = Rc::new(discovery);
         let keeper = Keeper::new(Some(arguments.counter), &settings);
         let keepers = Keepers::new(vec![keeper], None);
         // No request comes, so no connection to a server is opened.
@@ -85,7 +94,7 @@
 
     /// Notes how old its list is, unless it says that it is out of date.
     pub fn look_at_age(&self) {
-        if let Some(age) = self.discovery.confirmed_ago() {
+        if let Some(age) = self.discovery.confirmed_ago().filter(|_| !self.discovery.is_expired()) {
             self.observed.note_age(age);
         }
     }
--- a/crates/scale/src/run/hollow/mod.rs
+++ b/crates/scale/src/run/hollow/mod.rs
@@ -12,7 +12,7 @@
 use super::role::report;
 use clap::Args;
 use delay_line::DelayLine;
-use limiter::HollowLimiter;
+use limiter::{HollowLimiter, ListUpstream};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -56,7 +56,7 @@
     /// Seed of all that is drawn.
     #[arg(long)]
     pub seed: u64,
-    /// What discovery tells the first limiter can be delayed.
+    /// What discovery or relays tell the first limiter can be delayed.
     #[arg(long)]
     pub straggler: bool,
 }
@@ -94,7 +94,8 @@
     mut commands: UnboundedReceiver<Command>,
 ) -> Result<(), RunError> {
     let delay_line = match arguments.straggler {
-        true => Some(DelayLine::open(arguments.discovery[0]).await?),
+        // The first relay is the one that a fault ends.
+        true => Some(DelayLine::open(*arguments.relays.last().unwrap_or(&arguments.discovery[0])).await?),
         false => None,
     };
     let mut process = Process { arguments, lags: LagLog::new(), limiters: Vec::new(), delay_line };
@@ -141,10 +142,19 @@
 
     fn start(&self, index: u32, restarts: u32) -> Result<HollowLimiter, RunError> {
         let number = self.arguments.first + index;
-        let delayed = self.delay_line.as_ref().filter(|_| index == 0).map(DelayLine::address);
-        let regions = &self.arguments.discovery;
-        let discovery = delayed.unwrap_or(regions[number as usize % regions.len()]);
-        HollowLimiter::start(&self.arguments, number, restarts, discovery, self.lags.clone())
+        let upstream = self.upstream(number, index == 0);
+        HollowLimiter::start(&self.arguments, number, restarts, upstream, self.lags.clone())
+    }
+
+    /// Whom a limiter asks; the straggler asks through the delay line alone.
+    fn upstream(&self, number: u32, straggles: bool) -> ListUpstream {
+        let delayed = self.delay_line.as_ref().filter(|_| straggles).map(DelayLine::address);
+        let HollowArguments { discovery: regions, relays, .. } = &self.arguments;
+        if relays.is_empty() {
+            ListUpstream::Discovery(delayed.unwrap_or(regions[number as usize % regions.len()]))
+        } else {
+            ListUpstream::Relays(delayed.map_or_else(|| relays.clone(), |address| vec![address]))
+        }
     }
 
     fn status(&self) -> HollowStatus {
--- a/crates/scale/src/run/messages.rs
+++ b/crates/scale/src/run/messages.rs
@@ -22,7 +22,7 @@
     CutRegion(u64),
     /// Hollow: start a tenth of the limiters anew.
     RestartTenth,
-    /// Hollow: hold what discovery tells the first limiter for so many milliseconds.
+    /// Hollow: hold what discovery or relays tell the first limiter for so many milliseconds.
     DelayReading(u64),
     /// Report how things stand.
     Status,
