Refactoring: one error for an update that does not fit, and one place that asks for whole lists

Change: ApplyError in a file of its own serves logs and replicas; its NoList has the generation. Session keeps needs_whole_list and marks what comes without a list at hand as whole; the sinks only take in. No behaviour is changed, but for one text ("a delta of generation N came before any whole list", also of replicas).

--- a/crates/catalog/src/change_log.rs
+++ b/crates/catalog/src/change_log.rs
@@ -1,10 +1,8 @@
 //! The list of servers as a relay holds it, and what changed in it.
 
 use crate::history::{History, HISTORY_CHANGES};
-use crate::{Digest, Instance, Subscription, Update};
+use crate::{ApplyError, Digest, Instance, Subscription, Update};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::error::Error;
-use std::fmt;
 use std::sync::Arc;
 
 /// The current servers by service, and a bounded history of their changes.
@@ -35,49 +33,6 @@
     pub changed: usize,
 }
 
-/// Why an update was not applied. The log is as it was.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ApplyError {
-    /// A delta came before any whole list: what it builds on is missing.
-    Gap {
-        /// The generation of the delta.
-        got: u64,
-    },
-    /// The update is older than what is held.
-    Older {
-        /// The generation at hand.
-        held: u64,
-        /// The generation of the update.
-        got: u64,
-    },
-    /// The digest is not that of the list that the update leads to: something was lost. The whole list is to be
-    /// asked for, without a generation.
-    DigestMismatch {
-        /// The generation of the update.
-        generation: u64,
-        /// The digest that it carries.
-        expected: Digest,
-        /// The digest that it leads to.
-        computed: Digest,
-    },
-}
-
-impl fmt::Display for ApplyError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            ApplyError::Gap { got } => write!(f, "a delta of generation {got} came before any whole list"),
-            ApplyError::Older { held, got } => {
-                write!(f, "the update is older than the list: generation {got}, held {held}")
-            }
-            ApplyError::DigestMismatch { generation, expected, computed } => {
-                write!(f, "digest {expected} of generation {generation} differs from the list's {computed}")
-            }
-        }
-    }
-}
-
-impl Error for ApplyError {}
-
 /// One server before and after an update.
 struct Difference {
     before: Option<Arc<Instance>>,
@@ -165,7 +120,7 @@
 
     fn check_generation(&self, update: &Update) -> Result<(), ApplyError> {
         match self.generation {
-            None if !update.reset => Err(ApplyError::Gap { got: update.generation }),
+            None if !update.reset => Err(ApplyError::NoList { got: update.generation }),
             Some(held) if update.generation < held => Err(ApplyError::Older { held, got: update.generation }),
             _ => Ok(()),
         }
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -28,6 +28,7 @@
 //! counts anew, the caller lets go of the old count by `forget_generation`, and the next whole list is taken.
 #![warn(missing_docs)]
 
+mod apply_error;
 mod change_log;
 mod digest;
 mod history;
@@ -36,10 +37,11 @@
 mod subscription;
 mod wire;
 
-pub use change_log::{Applied, ApplyError, ChangeLog};
+pub use apply_error::ApplyError;
+pub use change_log::{Applied, ChangeLog};
 pub use digest::{Digest, ParseDigestError};
 pub use history::HISTORY_CHANGES;
-pub use replica::{Change, Replica, ReplicaError};
+pub use replica::{Change, Replica};
 pub use subscribers::Subscribers;
 pub use subscription::Subscription;
 pub use wire::{Instance, Lifecycle, Update};
--- a/crates/catalog/src/replica.rs
+++ b/crates/catalog/src/replica.rs
@@ -1,9 +1,7 @@
 //! The servers of a subscription as a child holds them.
 
-use crate::{Digest, Instance, Update};
+use crate::{ApplyError, Digest, Instance, Update};
 use std::collections::BTreeMap;
-use std::error::Error;
-use std::fmt;
 
 /// The servers that a child follows, as the relays last told them.
 ///
@@ -25,46 +23,6 @@
     Removed(Instance),
 }
 
-/// Why an update was not applied. The replica is as it was.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReplicaError {
-    /// A delta came before any whole list.
-    NoList,
-    /// The update is older than what is held.
-    Older {
-        /// The generation at hand.
-        held: u64,
-        /// The generation of the update.
-        got: u64,
-    },
-    /// The digest is not that of the servers that the update leads to: something was lost. The child is to ask
-    /// for the whole list of its subscription, without a generation.
-    Digest {
-        /// The generation of the update.
-        generation: u64,
-        /// The digest that it carries.
-        expected: Digest,
-        /// The digest that it leads to.
-        computed: Digest,
-    },
-}
-
-impl fmt::Display for ReplicaError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            ReplicaError::NoList => f.write_str("a delta came before any whole list"),
-            ReplicaError::Older { held, got } => {
-                write!(f, "the update is older than the list: generation {got}, held {held}")
-            }
-            ReplicaError::Digest { generation, expected, computed } => {
-                write!(f, "digest {expected} of generation {generation} differs from the list's {computed}")
-            }
-        }
-    }
-}
-
-impl Error for ReplicaError {}
-
 impl Replica {
     /// A replica that holds nothing yet.
     pub fn new() -> Self {
@@ -81,6 +39,11 @@
         self.instances.values()
     }
 
+    /// A server that is not terminated.
+    pub fn instance(&self, id: &str) -> Option<&Instance> {
+        self.instances.get(id)
+    }
+
     /// The digest of these servers.
     pub fn digest(&self) -> Digest {
         self.digest
@@ -94,7 +57,7 @@
     /// Takes in an update and gives what it changed.
     ///
     /// The digest of an update of which some entries could not be read is not looked at: it cannot be met.
-    pub fn apply(&mut self, update: Update) -> Result<Vec<Change>, ReplicaError> {
+    pub fn apply(&mut self, update: Update) -> Result<Vec<Change>, ApplyError> {
         self.check_generation(&update)?;
         let changes = self.difference(&update);
         let digest = self.digest_after(&changes);
@@ -107,12 +70,10 @@
         Ok(changes)
     }
 
-    fn check_generation(&self, update: &Update) -> Result<(), ReplicaError> {
+    fn check_generation(&self, update: &Update) -> Result<(), ApplyError> {
         match self.generation {
-            None if !update.reset => Err(ReplicaError::NoList),
-            Some(held) if update.generation < held => {
-                Err(ReplicaError::Older { held, got: update.generation })
-            }
+            None if !update.reset => Err(ApplyError::NoList { got: update.generation }),
+            Some(held) if update.generation < held => Err(ApplyError::Older { held, got: update.generation }),
             _ => Ok(()),
         }
     }
@@ -163,10 +124,10 @@
     }
 }
 
-fn check_digest(update: &Update, computed: Digest) -> Result<(), ReplicaError> {
+fn check_digest(update: &Update, computed: Digest) -> Result<(), ApplyError> {
     match update.digest {
         Some(expected) if expected != computed && update.unreadable.is_empty() => {
-            Err(ReplicaError::Digest { generation: update.generation, expected, computed })
+            Err(ApplyError::DigestMismatch { generation: update.generation, expected, computed })
         }
         _ => Ok(()),
     }
--- a/crates/catalog/tests/properties.rs
+++ b/crates/catalog/tests/properties.rs
@@ -1,8 +1,7 @@
 //! Change logs and replicas against a plain reference: the list of every generation, as a map.
 
 use liftrouter_catalog::{
-    ApplyError, Change, ChangeLog, Digest, Instance, Lifecycle, Replica, ReplicaError, Subscribers,
-    Subscription, Update,
+    ApplyError, Change, ChangeLog, Digest, Instance, Lifecycle, Replica, Subscribers, Subscription, Update,
 };
 use proptest::prelude::*;
 use proptest::sample::subsequence;
@@ -274,7 +273,7 @@
             let right = expected == reference.list(generation, &subscription);
             match child.apply(delta) {
                 Ok(_) => prop_assert!(right, "not found"),
-                Err(ReplicaError::Digest { .. }) => {
+                Err(ApplyError::DigestMismatch { .. }) => {
                     prop_assert!(!right);
                     prop_assert_eq!(held(&child), before);
                     let mut whole = log.since(&subscription, None).unwrap();
@@ -423,16 +422,16 @@
     assert_eq!(log.since(&Subscription::All, None), None);
     assert_eq!(log.digest_message(&Subscription::All), None);
     let delta = Update { generation: 3, ..Update::default() };
-    assert_eq!(log.apply(delta.clone()), Err(ApplyError::Gap { got: 3 }));
-    assert_eq!(replica.apply(delta.clone()), Err(ReplicaError::NoList));
+    assert_eq!(log.apply(delta.clone()), Err(ApplyError::NoList { got: 3 }));
+    assert_eq!(replica.apply(delta.clone()), Err(ApplyError::NoList { got: 3 }));
     log.apply(whole(4)).unwrap();
     replica.apply(whole(4)).unwrap();
     assert_eq!(log.apply(delta.clone()), Err(ApplyError::Older { held: 4, got: 3 }));
-    assert_eq!(replica.apply(delta), Err(ReplicaError::Older { held: 4, got: 3 }));
+    assert_eq!(replica.apply(delta), Err(ApplyError::Older { held: 4, got: 3 }));
     let empty =
         Update { generation: 9, reset: true, digest: Some(Digest::of([&listed])), ..Update::default() };
     assert!(matches!(log.apply(empty.clone()), Err(ApplyError::DigestMismatch { .. })));
-    assert!(matches!(replica.apply(empty), Err(ReplicaError::Digest { .. })));
+    assert!(matches!(replica.apply(empty), Err(ApplyError::DigestMismatch { .. })));
     assert_eq!((log.generation(), replica.generation()), (Some(4), Some(4)));
     assert_eq!(
         (log.digest(&Subscription::All), replica.digest()),
@@ -464,7 +463,7 @@
         assert!(log.since(&Subscription::All, Some(after)).unwrap().reset);
     }
     let update = log.since(&Subscription::All, replica.generation()).unwrap();
-    assert_eq!(replica.apply(update.clone()), Err(ReplicaError::Older { held: 100, got: 3 }));
+    assert_eq!(replica.apply(update.clone()), Err(ApplyError::Older { held: 100, got: 3 }));
     replica.forget_generation();
     assert_eq!(replica.apply(update), Ok(vec![Change::Listed(new)]));
 }
--- a/crates/catalog/tests/support/world.rs
+++ b/crates/catalog/tests/support/world.rs
@@ -9,7 +9,7 @@
 use super::source::{service_name, Source};
 use super::topology::{Node, Place, Topology};
 use super::{Micros, DIGEST_EVERY, HEARTBEAT, MILLISECOND, SECOND, SILENCE, STALE_AFTER};
-use liftrouter_catalog::{ApplyError, Replica, ReplicaError, Subscription, Update, HISTORY_CHANGES};
+use liftrouter_catalog::{ApplyError, Replica, Subscription, Update, HISTORY_CHANGES};
 use std::collections::BTreeSet;
 
 const REPLICAS_PER_SERVICE: f64 = 6.5;
@@ -506,7 +506,7 @@
                         self.repairs += 1;
                         relay.follower.repair(watch, now, random, &mut commands);
                     }
-                    Err(ApplyError::Gap { .. } | ApplyError::Older { .. }) => {
+                    Err(ApplyError::NoList { .. } | ApplyError::Older { .. }) => {
                         relay.follower.failed(watch, now, random, &mut commands);
                     }
                 }
@@ -543,11 +543,11 @@
                         node.follower.sign(watch, now, encoded.update.confirmed_ago_ms, &mut commands);
                         self.note_in_force(index, before);
                     }
-                    Err(ReplicaError::Digest { .. }) => {
+                    Err(ApplyError::DigestMismatch { .. }) => {
                         self.repairs += 1;
                         node.follower.repair(watch, now, random, &mut commands);
                     }
-                    Err(ReplicaError::NoList | ReplicaError::Older { .. }) => {
+                    Err(ApplyError::NoList { .. } | ApplyError::Older { .. }) => {
                         node.follower.failed(watch, now, random, &mut commands);
                     }
                 }
--- a/crates/daemon/src/membership/host_list.rs
+++ b/crates/daemon/src/membership/host_list.rs
@@ -4,7 +4,7 @@
 use super::update::{listed, listed_as, log_unreadable};
 use crate::inbox::{Inbox, Listed, News};
 use crate::log;
-use liftrouter_catalog::{Change, Replica, ReplicaError, Update};
+use liftrouter_catalog::{ApplyError, Change, Replica, Update};
 use liftrouter_decision::ServerState;
 use liftrouter_discovery::Delivery;
 use std::rc::Rc;
@@ -27,12 +27,10 @@
         self.revision
     }
 
-    fn apply(&mut self, update: Update) -> Result<(), ReplicaError> {
+    fn apply(&mut self, update: Update) -> Result<(), ApplyError> {
         log_unreadable(&update);
-        // What is changed since no revision is the whole list.
-        let whole = update.reset || self.revision.is_none();
         self.revision = Some(update.generation);
-        push(&self.inbox, whole, update.instances.iter().map(listed).collect());
+        push(&self.inbox, update.reset, update.instances.iter().map(listed).collect());
         Ok(())
     }
 
@@ -57,14 +55,12 @@
     inbox: Rc<Inbox>,
     delivery: Delivery,
     replica: Replica,
-    /// The digests differed: the whole list is needed.
-    repair: bool,
     expired: bool,
 }
 
 impl HeldList {
     pub fn new(inbox: Rc<Inbox>, delivery: Delivery) -> Self {
-        HeldList { inbox, delivery, replica: Replica::new(), repair: false, expired: false }
+        HeldList { inbox, delivery, replica: Replica::new(), expired: false }
     }
 
     fn push_whole(&self) {
@@ -79,19 +75,13 @@
 
 impl ListSink for HeldList {
     fn revision(&self) -> Option<u64> {
-        self.replica.generation().filter(|_| !self.repair)
+        self.replica.generation()
     }
 
-    fn apply(&mut self, mut update: Update) -> Result<(), ReplicaError> {
+    fn apply(&mut self, update: Update) -> Result<(), ApplyError> {
         log_unreadable(&update);
-        update.reset |= self.replica.generation().is_none();
         let whole = update.reset;
-        let applied = self.replica.apply(update);
-        self.repair = match &applied {
-            Ok(_) => self.repair && !whole,
-            Err(error) => self.repair || matches!(error, ReplicaError::Digest { .. }),
-        };
-        let changes = applied?;
+        let changes = self.replica.apply(update)?;
         if self.expired && self.stops_when_expired() {
             return Ok(());
         }
--- a/crates/daemon/src/membership/session.rs
+++ b/crates/daemon/src/membership/session.rs
@@ -6,7 +6,7 @@
 use super::upstream::Upstream;
 use super::watch::{Call, Watch, WatchError};
 use crate::log;
-use liftrouter_catalog::Update;
+use liftrouter_catalog::{ApplyError, Update};
 use liftrouter_discovery::{CallId, Event, Follower};
 use std::cell::Cell;
 use std::future::pending;
@@ -41,6 +41,8 @@
     answered: (UnboundedSender<CallId>, UnboundedReceiver<CallId>),
     /// When the list at hand was last confirmed.
     confirmed: Instant,
+    /// A digest differed from that of the list at hand: the whole list is needed.
+    needs_whole_list: bool,
     /// Calls in a row that came to nothing.
     failures: u32,
     /// Connections that are open.
@@ -61,6 +63,7 @@
             last_call: 0,
             answered: unbounded_channel(),
             confirmed: now,
+            needs_whole_list: false,
             failures: 0,
             open: Rc::default(),
         }
@@ -117,7 +120,7 @@
             id: self.last_call,
             address: self.upstream.address(),
             subscription: self.upstream.subscription().clone(),
-            after: self.sink.revision(),
+            after: self.revision(),
             timeout: self.follower.call_timeout(),
             longest_message: self.upstream.longest_message(),
             silence: self.follower.silence(),
@@ -177,25 +180,38 @@
         self.follower.handle_aged(self.started.elapsed(), event, sign.confirmed_ago());
         let now = Instant::now();
         self.confirmed = self.confirmed.max(now.checked_sub(sign.confirmed_ago()).unwrap_or(now));
-        self.upstream.note(self.sink.revision(), self.confirmed);
+        self.upstream.note(self.revision(), self.confirmed);
         let fresh = self.follower.expires_at().is_none_or(|at| at > self.started.elapsed());
         if fresh && self.upstream.set_expired(false) {
             self.sink.confirmed();
         }
         self.sink.heartbeat(sign);
-        if self.sink.revision().is_some() {
+        if self.revision().is_some() {
             self.heard.notify_one();
         }
     }
 
+    /// The revision to ask for what came after it; none where the whole list is needed.
+    fn revision(&self) -> Option<u64> {
+        self.sink.revision().filter(|_| !self.needs_whole_list)
+    }
+
     fn apply(&mut self, update: Option<Update>) -> Result<SignOfLife, WatchError> {
-        let Some(update) = update else { return Ok(SignOfLife::EmptyLine) };
+        let Some(mut update) = update else { return Ok(SignOfLife::EmptyLine) };
         let confirmed_ago = Duration::from_millis(update.confirmed_ago_ms);
-        let older = update.reset && self.sink.revision().is_some_and(|held| update.generation < held);
+        let older = update.reset && self.revision().is_some_and(|held| update.generation < held);
         if older && self.confirmed.elapsed() >= OLDER_LIST_AFTER {
             self.sink.forget_revision();
         }
-        self.sink.apply(update).map_err(WatchError::List)?;
+        // What is changed since no revision is the whole list.
+        update.reset |= self.sink.revision().is_none();
+        let whole = update.reset;
+        let applied = self.sink.apply(update);
+        self.needs_whole_list = match &applied {
+            Ok(()) => self.needs_whole_list && !whole,
+            Err(error) => self.needs_whole_list || matches!(error, ApplyError::DigestMismatch { .. }),
+        };
+        applied.map_err(WatchError::List)?;
         Ok(SignOfLife::Message { confirmed_ago })
     }
 
--- a/crates/daemon/src/membership/sink.rs
+++ b/crates/daemon/src/membership/sink.rs
@@ -1,6 +1,6 @@
 //! Who takes in what a watch tells.
 
-use liftrouter_catalog::{ReplicaError, Update};
+use liftrouter_catalog::{ApplyError, Update};
 use std::time::Duration;
 
 /// What told that the watch is alive.
@@ -24,14 +24,14 @@
 
 /// The list that a [`super::session::Session`] keeps up to date.
 pub trait ListSink {
-    /// The revision to ask for what came after it; none where the whole list is needed.
+    /// The revision of the list at hand; none before the first one.
     fn revision(&self) -> Option<u64>;
 
-    /// Takes in a whole list, or changes.
+    /// Takes in a whole list, or changes. What comes without a list at hand is marked as whole.
     ///
     /// # Errors
     /// It does not fit the list at hand, which stays as it is.
-    fn apply(&mut self, update: Update) -> Result<(), ReplicaError>;
+    fn apply(&mut self, update: Update) -> Result<(), ApplyError>;
 
     /// Lets the next whole list be taken whatever its revision.
     fn forget_revision(&mut self);
--- a/crates/daemon/src/membership/watch.rs
+++ b/crates/daemon/src/membership/watch.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HOST, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
-use liftrouter_catalog::{ReplicaError, Subscription, Update};
+use liftrouter_catalog::{ApplyError, Subscription, Update};
 use liftrouter_discovery::{CallFailure, CallId};
 use std::cell::Cell;
 use std::fmt;
@@ -36,7 +36,7 @@
     /// What came is no list.
     Unreadable(String),
     /// What came does not fit the list at hand.
-    List(ReplicaError),
+    List(ApplyError),
 }
 
 impl WatchError {
--- a/crates/daemon/src/relay/children.rs
+++ b/crates/daemon/src/relay/children.rs
@@ -3,7 +3,7 @@
 use crate::log;
 use crate::membership::sink::{ListSink, SignOfLife};
 use bytes::Bytes;
-use liftrouter_catalog::{ApplyError, ChangeLog, ReplicaError, Subscribers, Subscription, Update};
+use liftrouter_catalog::{ApplyError, ChangeLog, Subscribers, Subscription, Update};
 use liftrouter_discovery::SILENCE;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -176,32 +176,23 @@
 /// What upstream tells, taken in for the children.
 pub struct RelayList {
     children: Rc<RefCell<Children>>,
-    /// The digests differed: the whole list is needed.
-    repair: bool,
 }
 
 impl RelayList {
     pub fn new(children: Rc<RefCell<Children>>) -> Self {
-        RelayList { children, repair: false }
+        RelayList { children }
     }
 }
 
 impl ListSink for RelayList {
     fn revision(&self) -> Option<u64> {
-        self.children.borrow().log.generation().filter(|_| !self.repair)
+        self.children.borrow().log.generation()
     }
 
-    fn apply(&mut self, mut update: Update) -> Result<(), ReplicaError> {
+    fn apply(&mut self, update: Update) -> Result<(), ApplyError> {
         let mut children = self.children.borrow_mut();
         children.confirm(Duration::from_millis(update.confirmed_ago_ms));
-        update.reset |= children.log.generation().is_none();
-        let whole = update.reset;
-        let applied = children.apply(update).map_err(replica_error);
-        self.repair = match &applied {
-            Ok(()) => self.repair && !whole,
-            Err(error) => self.repair || matches!(error, ReplicaError::Digest { .. }),
-        };
-        applied
+        children.apply(update)
     }
 
     fn forget_revision(&mut self) {
@@ -226,13 +217,3 @@
         log("relay", "upstream gives signs of life again");
     }
 }
-
-fn replica_error(error: ApplyError) -> ReplicaError {
-    match error {
-        ApplyError::Gap { .. } => ReplicaError::NoList,
-        ApplyError::Older { held, got } => ReplicaError::Older { held, got },
-        ApplyError::DigestMismatch { generation, expected, computed } => {
-            ReplicaError::Digest { generation, expected, computed }
-        }
-    }
-}
