--- a/crates/scale/src/capacity/blocks.rs
+++ b/crates/scale/src/capacity/blocks.rs
@@ -1,5 +1,6 @@
 //! The marked blocks of the page, and their text.
 
+use super::comparison::before_and_after;
 use super::needs::{needs, Carries, Role};
 use super::records::{RecordError, Records};
 use super::slope_list::slope_list;
@@ -33,6 +34,7 @@
     Ok(vec![
         block("ranking", table::ranking(&all, |carries| carries == Carries::Today)),
         block("ranking-others", table::ranking(&all, |carries| carries != Carries::Today)),
+        block("before-and-after", before_and_after(records)),
         block("roles", table::roles(&all)),
         block("needs", table::needs(&all, |need| need.role != Role::Fault)),
         block("faults", table::needs(&all, |need| need.role == Role::Fault)),
--- a/crates/scale/src/capacity/mod.rs
+++ b/crates/scale/src/capacity/mod.rs
@@ -4,6 +4,7 @@
 //! the marked blocks of a page. What stands outside of the blocks is left alone.
 
 mod blocks;
+mod comparison;
 mod formula;
 mod needs;
 mod records;
--- a/crates/scale/src/capacity/needs/limiter.rs
+++ b/crates/scale/src/capacity/needs/limiter.rs
@@ -10,6 +10,10 @@
 
 impl Page<'_> {
     pub(super) fn request_path(&self) -> Result<Vec<Need>, RecordError> {
+        Ok([self.decisions()?, self.added_time()?].concat())
+    }
+
+    fn decisions(&self) -> Result<Vec<Need>, RecordError> {
         let most = self.budget.request.added_p99_ms * MILLISECOND_US;
         let today = (TODAY, Carries::Today);
         let role = Role::RequestPath;
@@ -21,10 +25,6 @@
         let busy = self
             .decision("decision.cpu_us")?
             .times(per_limiter, &format!("{} requests a second", number(per_limiter)));
-        let added = ("whole-limiters", "request.added_p99_ms", "limiters");
-        let by_service = ("service-limiters", "request.added_p99_ms", "limiters");
-        let limiters = self.budget.fleet.limiters;
-        let allowed = self.budget.request.added_p99_ms;
         Ok(vec![
             need(
                 role,
@@ -51,22 +51,27 @@
                 today,
             ),
             need(role, "processor time of decisions, no control", "us/s", busy, None, today),
-            need(
-                role,
-                "added to a request for 99 in 100, whole lists on loopback",
-                "ms",
-                self.term(added, limiters)?,
-                allowed,
-                today,
-            ),
-            need(
-                role,
-                "added to a request for 99 in 100, lists by service on loopback",
-                "ms",
-                self.term(by_service, limiters)?,
-                allowed,
-                (BY_SERVICE, Carries::WhenTurnedOn),
-            ),
+        ])
+    }
+
+    /// What a limiter adds to a request on loopback, by the size of the fleet and by that of the list.
+    fn added_time(&self) -> Result<Vec<Need>, RecordError> {
+        let fleet = &self.budget.fleet;
+        let (today, by_service) = ((TODAY, Carries::Today), (BY_SERVICE, Carries::WhenTurnedOn));
+        let added = |record, variable, size| self.term((record, "request.added_p99_ms", variable), size);
+        let whole = added("whole-limiters", "limiters", fleet.limiters)?;
+        let whole_list = added("whole-servers", "servers", fleet.servers)?;
+        let service = added("service-limiters", "limiters", fleet.limiters)?;
+        let service_list = added("service-servers", "servers", fleet.servers)?;
+        let row = |what, term, mechanism| {
+            let what = format!("added to a request for 99 in 100 on loopback, {what}");
+            need(Role::RequestPath, what, "ms", term, self.budget.request.added_p99_ms, mechanism)
+        };
+        Ok(vec![
+            row("whole lists, by limiters", whole, today),
+            row("whole lists, by listed servers (100 limiters)", whole_list, today),
+            row("lists by service, by limiters", service, by_service),
+            row("lists by service, by listed servers (100 limiters)", service_list, by_service),
         ])
     }
 
--- a/crates/scale/src/table.rs
+++ b/crates/scale/src/table.rs
@@ -3,7 +3,7 @@
 use crate::budget::{ratio_text, Verdict};
 use crate::capacity::{Carries, Need, RecordError, Records, Role, SlopeKey};
 use crate::fit::{Fit, Interval, Shape};
-use crate::record::Point;
+use crate::record::{Point, Record};
 use std::fmt::Write as _;
 
 /// Significant digits of a number.
@@ -51,11 +51,13 @@
     format!("{} ± {}", number(interval.value), number(interval.half))
 }
 
-fn row(cells: &[String]) -> String {
+/// A row of a table.
+pub fn row(cells: &[String]) -> String {
     format!("| {} |\n", cells.join(" | "))
 }
 
-fn head(names: &[&str]) -> String {
+/// The head of a table and the line below it.
+pub fn head(names: &[&str]) -> String {
     let names: Vec<String> = names.iter().map(|name| (*name).to_owned()).collect();
     let line: Vec<String> = names.iter().map(|_| "---".to_owned()).collect();
     row(&names) + &row(&line)
@@ -181,17 +183,21 @@
     text
 }
 
-/// Record and quantities of faults that were played on loopback.
-const PLAYED: &str = "whole-faults";
+/// Records and quantities of faults that were played on loopback, by whole lists and by service.
+const PLAYED: [&str; 2] = ["whole-faults", "service-faults"];
 const PLAYED_PREFIX: &str = "fault.";
 
 /// Faults as they were played, at the size of the run: each quantity with its values, one for each repetition.
 pub fn faults_played(all: &Records) -> String {
-    let mut text = head(&["record", "quantity", "variable", "size", "values"]);
-    let Some(record) = all.get(PLAYED) else {
-        return text
-            + &row(&[format!("`{PLAYED}`"), "not run".into(), String::new(), String::new(), String::new()]);
+    let text = head(&["record", "quantity", "variable", "size", "values"]);
+    PLAYED.iter().fold(text, |text, name| text + &faults_of(name, all.get(name)))
+}
+
+fn faults_of(name: &str, record: Option<&Record>) -> String {
+    let Some(record) = record else {
+        return row(&[format!("`{name}`"), "not run".into(), String::new(), String::new(), String::new()]);
     };
+    let mut text = String::new();
     let mut rows: Vec<(&Point, Vec<String>)> = Vec::new();
     for point in record.points.iter().filter(|point| point.quantity.starts_with(PLAYED_PREFIX)) {
         let same = |known: &&mut (&Point, Vec<String>)| {
@@ -204,7 +210,7 @@
     }
     for (point, values) in rows {
         text += &row(&[
-            format!("`{PLAYED}`"),
+            format!("`{name}`"),
             format!("`{}`", point.quantity),
             format!("`{}`", point.variable),
             number(point.size),
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -99,7 +99,7 @@
     let (page, records) = (page(), records());
     let blocks = blocks(&records, &budget()).expect("blocks");
     let mut changed = 0;
-    for name in ["ranking", "roles", "needs", "faults", "slopes"] {
+    for name in ["ranking", "before-and-after", "roles", "needs", "faults", "faults-played", "slopes"] {
         let begin = page.find(&format!("<!-- begin {name} -->")).expect("a block");
         let end = page.find(&format!("<!-- end {name} -->")).expect("its end");
         // Every seventeenth digit: all of them take long.
