--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -3,6 +3,7 @@
 use liftrouter_scale::budget::{Budget, Unknown, Verdict};
 use liftrouter_scale::capacity::{blocks, needs, render, slope_list, Carries, Records};
 use liftrouter_scale::fit::Interval;
+use liftrouter_scale::record::{Point, Record};
 use liftrouter_scale::table::{number, with_interval};
 use std::path::{Path, PathBuf};
 
@@ -132,6 +133,48 @@
     }
 }
 
+/// The mean of what a record has of a quantity at its smallest size, and at its largest.
+fn ends(record: &Record, quantity: &str) -> [f64; 2] {
+    let points = || record.points.iter().filter(|point| point.quantity == quantity);
+    let sizes = || points().map(|point| point.size);
+    let (smallest, largest) = (sizes().fold(f64::INFINITY, f64::min), sizes().fold(0.0, f64::max));
+    assert!(largest >= 10.0 * smallest, "{}: {smallest} to {largest}", record.name);
+    [smallest, largest].map(|size| {
+        let at_size: Vec<f64> =
+            points().filter(|point| point.size == size).map(|point| point.value).collect();
+        at_size.iter().sum::<f64>() / at_size.len() as f64
+    })
+}
+
+/// Where the stored runs say that a limiter by service costs more with ten times the servers, or in a fleet of ten
+/// times the size.
+fn grown_by_service(records: &Records) -> Vec<String> {
+    const FLAT: f64 = 1.2;
+    let mut grown = Vec::new();
+    for name in ["service-servers", "service-limiters"] {
+        let record = records.get(name).expect("a record");
+        for quantity in ["limiter.cpu_percent", "limiter.bytes_in_per_s", "limiter.rss_kb"] {
+            let [small, large] = ends(record, quantity);
+            if large > FLAT * small {
+                grown.push(format!("{name}, {quantity}: {small} to {large}"));
+            }
+        }
+    }
+    grown
+}
+
+#[test]
+fn by_service_a_limiter_costs_the_same_at_ten_times_the_size() {
+    let mut records = records();
+    assert_eq!(grown_by_service(&records), Vec::<String>::new());
+    let mut altered = records.remove("service-limiters").expect("a record");
+    let largest = altered.points.iter().map(|point| point.size).fold(0.0, f64::max);
+    let named = |point: &&mut Point| point.quantity == "limiter.cpu_percent" && point.size == largest;
+    altered.points.iter_mut().filter(named).for_each(|point| point.value *= 2.0);
+    records.insert(altered);
+    assert_eq!(grown_by_service(&records).len(), 1, "a run that grows is found");
+}
+
 #[test]
 fn a_missing_record_is_found() {
     let page = page();
