Regions: one check of who lists an identity first, no map for each whole list, and shared test servers

RegionLists::instances built a map of all servers with each whole list, also where there is one region, and seen_change cloned entries only to ask whether they are there; the property tests of regions wrote out the servers, states and configuration that those of the catalog had.

Change: is_listed_before serves both; instances walks the regions as they are. tests/arbitrary has what both property tests draw.

--- a/crates/catalog/src/regions.rs
+++ b/crates/catalog/src/regions.rs
@@ -1,7 +1,6 @@
 //! One list out of the lists of several regions, each of which has a root of its own.
 
 use crate::{ApplyError, Change, Instance, Replica, Update};
-use std::collections::BTreeMap;
 
 /// The position of a region among those that are followed.
 pub type RegionIndex = usize;
@@ -37,14 +36,16 @@
         self.replicas[region].instances()
     }
 
-    /// The servers of all regions that are not terminated, by identity.
+    /// The servers of all regions that are not terminated.
     pub fn instances(&self) -> impl Iterator<Item = &Instance> {
-        let mut seen = BTreeMap::new();
-        // What comes first is written last.
-        for instance in self.replicas.iter().rev().flat_map(Replica::instances) {
-            seen.insert(&instance.instance_id, instance);
-        }
-        seen.into_values()
+        (0..self.replicas.len()).flat_map(move |region| {
+            self.instances_of(region).filter(move |instance| !self.is_listed_before(region, instance))
+        })
+    }
+
+    /// Whether a region that comes before this one lists the same identity.
+    fn is_listed_before(&self, region: RegionIndex, instance: &Instance) -> bool {
+        self.replicas[..region].iter().any(|earlier| earlier.instance(&instance.instance_id).is_some())
     }
 
     /// Takes in what one region tells and gives what it changed in the list of all.
@@ -59,14 +60,14 @@
     /// What a change in one region is to those who see all; nothing where an earlier region lists the same identity.
     fn seen_change(&self, region: RegionIndex, change: Change) -> Option<Change> {
         let (Change::Listed(instance) | Change::Removed(instance)) = &change;
-        let listed_in = |replica: &Replica| replica.instance(&instance.instance_id).cloned();
-        if self.replicas[..region].iter().any(|earlier| listed_in(earlier).is_some()) {
+        if self.is_listed_before(region, instance) {
             return None;
         }
         match change {
-            Change::Removed(_) => {
-                let later = self.replicas[region + 1..].iter().find_map(listed_in);
-                Some(later.map_or(change, Change::Listed))
+            Change::Removed(removed) => {
+                let mut later = self.replicas[region + 1..].iter();
+                let listed = later.find_map(|replica| replica.instance(&removed.instance_id)).cloned();
+                Some(listed.map_or(Change::Removed(removed), Change::Listed))
             }
             Change::Listed(_) => Some(change),
         }
--- /dev/null
+++ b/crates/catalog/tests/arbitrary/mod.rs
@@ -0,0 +1,38 @@
+//! Servers and states for the property tests.
+
+use liftrouter_catalog::{Instance, Lifecycle};
+use proptest::prelude::*;
+
+/// Always the same cases.
+pub fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    }
+}
+
+/// A server of a service.
+pub fn instance(id: u8, service: &str, weight: u8, lifecycle: Lifecycle) -> Instance {
+    Instance {
+        instance_id: format!("i{id}"),
+        host_port: ([10, 0, 0, id], 80).into(),
+        service: service.into(),
+        zone: "z".into(),
+        machine_type: String::new(),
+        cell: 0,
+        lifecycle,
+        weight: Some(f64::from(weight)),
+        started_at_ms: None,
+    }
+}
+
+/// A state, most often in service.
+pub fn any_lifecycle() -> impl Strategy<Value = Lifecycle> {
+    prop_oneof![
+        4 => Just(Lifecycle::InService),
+        1 => Just(Lifecycle::Terminating),
+        2 => Just(Lifecycle::Terminated),
+    ]
+}
--- a/crates/catalog/tests/properties.rs
+++ b/crates/catalog/tests/properties.rs
@@ -1,5 +1,8 @@
 //! Change logs and replicas against a plain reference: the list of every generation, as a map.
 
+mod arbitrary;
+
+use arbitrary::{any_lifecycle, config};
 use liftrouter_catalog::{
     ApplyError, Change, ChangeLog, Digest, Instance, Lifecycle, Replica, Subscribers, Subscription, Update,
 };
@@ -12,37 +15,13 @@
 
 type List = BTreeMap<String, Instance>;
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 512,
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
-        ..ProptestConfig::default()
-    }
-}
-
 fn instance(id: u8, service: usize, weight: u8, lifecycle: Lifecycle) -> Instance {
-    Instance {
-        instance_id: format!("i{id}"),
-        host_port: ([10, 0, 0, id], 80).into(),
-        service: SERVICES[service].into(),
-        zone: "z".into(),
-        machine_type: String::new(),
-        cell: 0,
-        lifecycle,
-        weight: Some(f64::from(weight)),
-        started_at_ms: None,
-    }
+    arbitrary::instance(id, SERVICES[service], weight, lifecycle)
 }
 
 /// One change of one server at the root.
 fn any_change() -> impl Strategy<Value = Instance> {
-    let lifecycle = prop_oneof![
-        4 => Just(Lifecycle::InService),
-        1 => Just(Lifecycle::Terminating),
-        2 => Just(Lifecycle::Terminated),
-    ];
-    (0..SERVERS, 0..SERVICES.len(), 0..3u8, lifecycle)
+    (0..SERVERS, 0..SERVICES.len(), 0..3u8, any_lifecycle())
         .prop_map(|(id, service, weight, lifecycle)| instance(id, service, weight, lifecycle))
 }
 
--- a/crates/catalog/tests/regions.rs
+++ b/crates/catalog/tests/regions.rs
@@ -1,5 +1,8 @@
 //! The lists of several regions as one, against a plain reference: a map for each region.
 
+mod arbitrary;
+
+use arbitrary::{any_lifecycle, config, instance};
 use liftrouter_catalog::{ApplyError, Change, Instance, Lifecycle, RegionLists, Update};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -9,31 +12,12 @@
 
 type List = BTreeMap<String, Instance>;
 
-fn instance(id: u8, weight: u8, lifecycle: Lifecycle) -> Instance {
-    Instance {
-        instance_id: format!("i{id}"),
-        host_port: ([10, 0, 0, id], 80).into(),
-        service: String::new(),
-        zone: "z".into(),
-        machine_type: String::new(),
-        cell: 0,
-        lifecycle,
-        weight: Some(f64::from(weight)),
-        started_at_ms: None,
-    }
-}
-
 fn in_service(id: u8) -> Instance {
-    instance(id, 1, Lifecycle::InService)
+    instance(id, "", 1, Lifecycle::InService)
 }
 
 fn any_instance() -> impl Strategy<Value = Instance> {
-    let lifecycle = prop_oneof![
-        4 => Just(Lifecycle::InService),
-        1 => Just(Lifecycle::Terminating),
-        2 => Just(Lifecycle::Terminated),
-    ];
-    (0..SERVERS, 0..3u8, lifecycle).prop_map(|(id, weight, lifecycle)| instance(id, weight, lifecycle))
+    (0..SERVERS, 0..3u8, any_lifecycle()).prop_map(|(id, weight, state)| instance(id, "", weight, state))
 }
 
 /// What a region tells next: changes, or a whole list.
@@ -94,12 +78,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 512,
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(config())]
 
     /// Both the list as a whole and the one that follows the changes are what the regions tell, and each region
     /// counts its own generations.
