--- a/crates/scale/tests/run.rs
+++ b/crates/scale/tests/run.rs
@@ -160,20 +160,22 @@
     fleet.play(&[&["--lists", "service", "--relays", leaves], more].concat())
 }
 
-#[test]
-fn behind_relays_everybody_ends_on_the_list_of_its_service() {
-    let file = scratch("behind-relays.json");
-    let out = file.to_str().expect("utf-8");
-    let faults = ["--fault", "relay-dies", "--fault", "restart-tenth", "--fault", "stall"];
-    let output = play_behind_relays(
-        SmallFleet::default(),
-        "2",
-        &[&["--seconds", "2", "--warm-up", "0.5", "--settle-seconds", "20", "--out", out], &faults[..]]
-            .concat(),
-    );
+/// Plays a fleet behind two leaves in which the checker finds nobody, and gives its record.
+fn record_behind_relays(name: &str, more: &[&str]) -> Record {
+    let file = scratch(name);
+    let out = ["--settle-seconds", "20", "--out", file.to_str().expect("utf-8")];
+    let output = play_behind_relays(SmallFleet::default(), "2", &[more, &out[..]].concat());
     assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
     let record = read_record(&file);
     assert_eq!(value(&record, "check.offenders"), 0.0);
+    record
+}
+
+#[test]
+fn behind_relays_everybody_ends_on_the_list_of_its_service() {
+    let faults = ["--fault", "relay-dies", "--fault", "restart-tenth", "--fault", "stall"];
+    let more = [&["--seconds", "2", "--warm-up", "0.5"], &faults[..]].concat();
+    let record = record_behind_relays("behind-relays.json", &more);
     // Each limiter is told the changes of its own service alone: a quarter of them, more or less.
     let changes = value(&record, "source.changes_count");
     assert!(value(&record, "limiter.changes_most_count") < 0.6 * changes, "{changes} changes");
@@ -181,21 +183,12 @@
     assert_eq!(value(&record, "limiter.whole_lists_most_count"), 1.0, "no whole list but the first");
 }
 
+/// The checker finds whoever goes by an old list without saying so.
 #[test]
 fn behind_relays_a_straggler_is_told_late_and_says_so() {
-    let file = scratch("straggler.json");
-    let out = file.to_str().expect("utf-8");
     let faults = ["--fault", "restart-tenth", "--fault", "straggler"];
-    let output = play_behind_relays(
-        SmallFleet::default(),
-        "2",
-        &[&["--seconds", "0.5", "--warm-up", "0", "--settle-seconds", "20", "--out", out], &faults[..]]
-            .concat(),
-    );
-    // The checker finds whoever goes by an old list without saying so.
-    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
-    let record = read_record(&file);
-    assert_eq!(value(&record, "check.offenders"), 0.0);
+    let more = [&["--seconds", "0.5", "--warm-up", "0"], &faults[..]].concat();
+    let record = record_behind_relays("straggler.json", &more);
     let slowest = |fault: &str| value(&record, &format!("fault.{fault}.lag_last_ms"));
     let (straggler, others) = (slowest("straggler"), slowest("restart_tenth"));
     assert!(straggler > 2.0 * others, "the last lag is {straggler} ms, without it {others} ms");
