--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,10 +3,10 @@
 # not run. TROUBLE=0 leaves the disruption out. The player kills its processes when it ends, also after a failure.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-for program in target/release/liftrouter target/review/release/services; do
+for program in target/release/liftrouter target/review/release/shutdown; do
   [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-timeout 110 target/review/release/services "review/3/record.txt"
+timeout 110 target/review/release/shutdown "review/2/record.txt"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
