Review case 1: policies are bound twice when a cut-off room comes back

Change: case 1: a room is cut off for 18 s; what the limiter has given up stays in its kernel and arrives after the cut.

--- a/review/standins/src/bin/inventory.rs
+++ b/review/standins/src/bin/inventory.rs
@@ -113,7 +113,6 @@
                 listen: free_tcp(),
                 discovery: agent.address,
                 counter,
-                known: None,
                 operator,
             };
             Limiter::start(folder.path(), &config)
--- a/review/standins/src/bin/shutdown.rs
+++ b/review/standins/src/bin/shutdown.rs
@@ -29,7 +29,7 @@
             let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
             let id = format!("s-{n}");
             let address = node::start(&id, listener, record, &arrivals);
-            Instance { id, address, lifecycle: "in_service", service: "" }
+            Instance { id, address, lifecycle: "in_service", zone: "room-a" }
         })
         .collect();
     let agent = Agent::start(&instances);
@@ -45,7 +45,6 @@
         listen: free_tcp(),
         discovery: agent.address,
         counter: counter::start(),
-        known: None,
         operator,
     };
     let mut limiter = Limiter::start(folder.path(), &config);
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -21,6 +21,8 @@
     pub time_left: Duration,
     /// How many limiters the customer comes through.
     pub spread: usize,
+    /// Bytes of the body of a keyed request.
+    pub body_bytes: usize,
 }
 
 impl Request {
@@ -28,16 +30,19 @@
     pub fn new(class: &'static str, customer: u64, time_left: Duration, spread: usize) -> Request {
         let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
         let id = format!("{:08x}{number:08x}", std::process::id());
-        Request { id, class, customer, plan: "network", time_left, spread }
+        Request { id, class, customer, plan: "network", time_left, spread, body_bytes: 4 }
     }
 
     fn text(&self, host: SocketAddr) -> String {
-        let Request { id, class, customer, plan, time_left, spread } = self;
+        let Request { id, class, customer, plan, time_left, spread, body_bytes } = self;
         let keyed = *class == "bind-policy";
         let method = if keyed { "POST" } else { "GET" };
-        let key =
-            if keyed { format!("Idempotency-Key: key-{id}\r\nContent-Length: 4\r\n") } else { String::new() };
-        let body = if keyed { "bind" } else { "" };
+        let key = if keyed {
+            format!("Idempotency-Key: key-{id}\r\nContent-Length: {body_bytes}\r\n")
+        } else {
+            String::new()
+        };
+        let body = if keyed { "b".repeat(*body_bytes) } else { String::new() };
         format!(
             "{method} /{class}/{customer:016x} HTTP/1.1\r\nHost: {host}\r\nX-Correlation-Id: {id}\r\n\
              X-Contract: {plan}\r\nX-Time-Left: {}m\r\n{key}X-Metering: units=1,spread={spread},first=0\r\n\r\n{body}",
--- a/review/standins/src/discovery.rs
+++ b/review/standins/src/discovery.rs
@@ -3,7 +3,8 @@
 use crate::http::{accept_all, response, Message};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
 /// While nothing changes an empty line comes this often.
@@ -15,8 +16,7 @@
     pub id: String,
     pub address: SocketAddr,
     pub lifecycle: &'static str,
-    /// The service that it belongs to; empty if none is named.
-    pub service: &'static str,
+    pub zone: &'static str,
 }
 
 /// The JSON object of a whole list.
@@ -26,19 +26,18 @@
 }
 
 fn entry(instance: &Instance) -> String {
-    let Instance { id, address, lifecycle, service } = instance;
-    let service = if service.is_empty() { String::new() } else { format!("\"service\":\"{service}\",") };
+    let Instance { id, address, lifecycle, zone } = instance;
     format!(
-        "{{\"instanceId\":\"{id}\",\"hostPort\":\"{address}\",{service}\"zone\":\"room-a\",\"machineType\":\"std-3\",\
+        "{{\"instanceId\":\"{id}\",\"hostPort\":\"{address}\",\"zone\":\"{zone}\",\"machineType\":\"std-3\",\
          \"cell\":0,\"lifecycle\":\"{lifecycle}\",\"weight\":1.0,\"startedAtMs\":0}}"
     )
 }
 
-/// The list of an agent. It is changed by [`Agent::set`].
+/// An agent whose list does not change.
 #[derive(Clone)]
 pub struct Agent {
     pub address: SocketAddr,
-    list: Arc<(Mutex<(u64, String)>, Condvar)>,
+    list: Arc<str>,
 }
 
 impl Agent {
@@ -46,21 +45,12 @@
     pub fn start(instances: &[Instance]) -> Agent {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("the address of a listener");
-        let list = Arc::new((Mutex::new((1, whole_list(1, instances))), Condvar::new()));
-        let agent = Agent { address, list };
+        let agent = Agent { address, list: whole_list(1, instances).into() };
         let serving = agent.clone();
         accept_all(listener, move |stream| serving.serve(stream));
         agent
     }
 
-    /// Replaces the list, and tells it on all open watches.
-    pub fn set(&self, instances: &[Instance]) {
-        let mut list = self.list.0.lock().expect("the list");
-        let generation = list.0 + 1;
-        *list = (generation, whole_list(generation, instances));
-        self.list.1.notify_all();
-    }
-
     fn serve(&self, stream: TcpStream) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
@@ -69,29 +59,20 @@
                 let _ = self.watch(&mut writer);
                 return;
             }
-            let text = self.list.0.lock().expect("the list").1.clone();
-            if writer.write_all(response("200 OK", "", &text).as_bytes()).is_err() {
+            if writer.write_all(response("200 OK", "", &self.list).as_bytes()).is_err() {
                 return;
             }
         }
     }
 
+    /// Tells the whole list, and that nothing changes.
     fn watch(&self, writer: &mut TcpStream) -> std::io::Result<()> {
         writer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
-        let mut told = 0;
+        let mut line = format!("{}\n", self.list);
         loop {
-            let line = {
-                let list = self.list.0.lock().expect("the list");
-                let waited = self.list.1.wait_timeout_while(list, HEARTBEAT, |list| list.0 == told);
-                let (list, timeout) = waited.expect("the list");
-                told = list.0;
-                if timeout.timed_out() {
-                    "\n".to_string()
-                } else {
-                    format!("{}\n", list.1)
-                }
-            };
             write!(writer, "{:x}\r\n{line}\r\n", line.len())?;
+            line = "\n".to_string();
+            thread::sleep(HEARTBEAT);
         }
     }
 }
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 messages as the stand-ins read and write them.
 
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
@@ -87,8 +87,7 @@
     });
 }
 
-/// Reads the requests of one connection in order and writes the answer of `answer` to each. The second argument of
-/// `answer` is called by the time when the request was complete.
+/// Reads the requests of one connection in order and writes the answer of `answer` to each.
 pub fn serve_requests(stream: TcpStream, answer: impl Fn(&Message) -> String) {
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
@@ -98,9 +97,3 @@
         }
     }
 }
-
-/// Discards what a peer sends until it closes the connection.
-pub fn read_to_end(stream: &mut impl Read) {
-    let mut buffer = [0; 4096];
-    while matches!(stream.read(&mut buffer), Ok(count) if count > 0) {}
-}
--- a/review/standins/src/installation.rs
+++ b/review/standins/src/installation.rs
@@ -2,7 +2,7 @@
 
 use crate::record::Record;
 use std::fs;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -48,11 +48,6 @@
     TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
 }
 
-/// A loopback address whose UDP port is free.
-pub fn free_udp() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a free port")
-}
-
 /// Runs a case and writes its record to the file that the first argument names. A panic counts as unusable.
 pub fn run(case: impl FnOnce(&Record) -> Verdict + std::panic::UnwindSafe) -> ExitCode {
     let record = Record::default();
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod http;
 pub mod installation;
 pub mod limiter;
+pub mod link;
 pub mod node;
 pub mod record;
--- a/review/standins/src/limiter.rs
+++ b/review/standins/src/limiter.rs
@@ -18,7 +18,7 @@
 }
 
 /// Has the kernel kill the program if this process ends without doing so.
-pub fn end_with_this_process(command: &mut Command) -> &mut Command {
+fn end_with_this_process(command: &mut Command) -> &mut Command {
     // SAFETY: the closure makes a single system call, which is allowed between fork and exec.
     unsafe {
         command.pre_exec(|| {
@@ -41,8 +41,6 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub counter: SocketAddr,
-    /// The list of servers as the limiter last had it, in discovery's form.
-    pub known: Option<String>,
     /// The operator's file; nothing if empty.
     pub operator: String,
 }
@@ -88,11 +86,10 @@
     pub fn start(folder: &Path, config: &Config) -> Limiter {
         let folder = folder.join(config.name);
         fs::create_dir_all(folder.join("tmp")).expect("a folder for the limiter");
-        let Config { name, index, limiters, listen, discovery, counter, known, operator } = config;
-        let known = known.as_ref().map_or(String::new(), |known| format!("\"known\": {known},"));
+        let Config { name, index, limiters, listen, discovery, counter, operator } = config;
         let text = format!(
             "{{\"name\": \"{name}\", \"listen\": \"{listen}\", \"discovery\": \"{discovery}\", \
-             \"counter\": \"{counter}\", \"seed\": \"{:016x}\", {known}\n  \
+             \"counter\": \"{counter}\", \"seed\": \"{:016x}\",\n  \
              \"limits\": {{\"cores\": 1.0, \"memory_mb\": 192, \"sockets\": 1024}},\n  \"settings\": {}}}",
             std::process::id() as u64 * 1_000 + *index as u64 * 77 + 1,
             settings(*index, *limiters)
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -7,8 +7,12 @@
 use std::thread;
 use std::time::Duration;
 
-/// The work of one request.
-const WORK: Duration = Duration::from_millis(90);
+/// The work of a quote, and that of a policy, which carries a key.
+const QUOTE_WORK: Duration = Duration::from_millis(95);
+const POLICY_WORK: Duration = Duration::from_millis(150);
+
+/// All nodes drop a repeat of a key for so long.
+pub const KEY_MEMORY: Duration = Duration::from_secs(10);
 
 /// A request that a node has received completely.
 #[derive(Clone, Debug)]
@@ -16,8 +20,12 @@
     pub at: Duration,
     pub node: String,
     pub id: String,
+    /// Value of `Idempotency-Key`, if the request has one.
+    pub key: Option<String>,
     /// Value of `X-Inventory`, if the request has one.
     pub inventory: Option<String>,
+    /// Whether the node executes it; else it is a repeat of a key that the nodes remember.
+    pub is_executed: bool,
 }
 
 /// What the nodes of a case have received, in order.
@@ -30,6 +38,18 @@
         self.0.lock().expect("the arrivals").clone()
     }
 
+    /// Adds a request that has come, and returns whether it is to be executed.
+    fn add(&self, mut arrival: Arrival) -> bool {
+        let mut all = self.0.lock().expect("the arrivals");
+        let remembered = |earlier: &&Arrival| {
+            earlier.is_executed && earlier.key == arrival.key && arrival.at < earlier.at + KEY_MEMORY
+        };
+        arrival.is_executed = arrival.key.is_none() || !all.iter().any(|earlier| remembered(&earlier));
+        let is_executed = arrival.is_executed;
+        all.push(arrival);
+        is_executed
+    }
+
     /// The requests that came to one node.
     pub fn at_node(&self, name: &str) -> Vec<Arrival> {
         self.all().into_iter().filter(|arrival| arrival.node == name).collect()
@@ -41,60 +61,37 @@
     format!("answer of {node} to {id}")
 }
 
-/// Starts a quote node. Probes are answered too and noted as such.
+/// Starts a quote node. Probes are answered too.
 pub fn start(name: &str, listener: TcpListener, record: &Record, arrivals: &Arrivals) -> SocketAddr {
-    start_with(name, listener, record, arrivals, quote)
-}
-
-/// Starts a server of another service, which knows no quotes: it answers 404.
-pub fn start_of_other_service(
-    name: &str,
-    listener: TcpListener,
-    record: &Record,
-    arrivals: &Arrivals,
-) -> SocketAddr {
-    start_with(name, listener, record, arrivals, |_, _| response("404 Not Found", "", "no such path"))
-}
-
-fn start_with(
-    name: &str,
-    listener: TcpListener,
-    record: &Record,
-    arrivals: &Arrivals,
-    answer_to: impl Fn(&str, &str) -> String + Send + Sync + 'static,
-) -> SocketAddr {
     let address = listener.local_addr().expect("the address of a listener");
     let (name, record, arrivals) = (name.to_string(), record.clone(), arrivals.clone());
     accept_all(listener, move |stream| {
-        let peer = stream.peer_addr().map(|peer| peer.port()).unwrap_or_default();
-        serve_requests(stream, |request| answer(&name, peer, request, &record, &arrivals, &answer_to));
+        serve_requests(stream, |request| answer(&name, request, &record, &arrivals));
     });
     address
 }
 
-/// Executes a quote or a policy.
-fn quote(name: &str, id: &str) -> String {
-    thread::sleep(WORK);
-    response("200 OK", "X-Settled: 1\r\n", &answer_body(name, id))
-}
-
-fn answer(
-    name: &str,
-    peer: u16,
-    request: &Message,
-    record: &Record,
-    arrivals: &Arrivals,
-    answer_to: &impl Fn(&str, &str) -> String,
-) -> String {
+fn answer(name: &str, request: &Message, record: &Record, arrivals: &Arrivals) -> String {
     if request.second_word() == "/metrics/load" || request.second_word() == "/alive" {
-        record.note(format!("{name} is probed from port {peer}"));
         return response("200 OK", "", "util=0.2");
     }
     let Some(id) = request.header("x-correlation-id") else { return response("404 Not Found", "", "") };
-    let inventory = request.header("x-inventory").map(str::to_string);
-    let by = inventory.as_ref().map_or(String::new(), |version| format!(", X-Inventory {version}"));
-    record.note(format!("{name} receives {}, id {id}{by}", request.start_line));
-    let arrival = Arrival { at: record.now(), node: name.to_string(), id: id.to_string(), inventory };
-    arrivals.0.lock().expect("the arrivals").push(arrival);
-    answer_to(name, id)
+    let header = |name| request.header(name).map(str::to_string);
+    let arrival = Arrival {
+        at: record.now(),
+        node: name.to_string(),
+        id: id.to_string(),
+        key: header("idempotency-key"),
+        inventory: header("x-inventory"),
+        is_executed: true,
+    };
+    let by = arrival.inventory.as_ref().map_or(String::new(), |version| format!(", X-Inventory {version}"));
+    let work = if arrival.key.is_some() { POLICY_WORK } else { QUOTE_WORK };
+    let is_executed = arrivals.add(arrival);
+    let repeat = if is_executed { "" } else { ", a repeat that it drops" };
+    record.note(format!("{name} receives {}, id {id}{by}{repeat}", request.start_line));
+    if is_executed {
+        thread::sleep(work);
+    }
+    response("200 OK", "X-Settled: 1\r\n", &answer_body(name, id))
 }
