--- a/review/standins/src/bin/shutdown.rs
+++ b/review/standins/src/bin/shutdown.rs
@@ -3,7 +3,7 @@
 use liftrouter_review::client::{self, Fate, Request};
 use liftrouter_review::discovery::{Agent, Instance};
 use liftrouter_review::installation::{free_tcp, run, with_trouble, Folder, Verdict};
-use liftrouter_review::limiter::{Config, Limiter};
+use liftrouter_review::limiter::{Config, Limiter, SIGKILL, SIGTERM};
 use liftrouter_review::node::{self, Arrivals};
 use liftrouter_review::record::Record;
 use liftrouter_review::{authorizer, counter};
@@ -67,12 +67,12 @@
     thread::sleep(BEFORE_SIGTERM);
     if with_trouble() {
         record.note("the limiter gets SIGTERM");
-        limiter.signal("TERM");
+        limiter.signal(SIGTERM);
         match limiter.wait_for_exit(SIGKILL_AFTER) {
             Some(status) => record.note(format!("the limiter has ended, {status}")),
             None => {
                 record.note("the limiter gets SIGKILL");
-                limiter.signal("KILL");
+                limiter.signal(SIGKILL);
             }
         }
     }
--- a/review/standins/src/limiter.rs
+++ b/review/standins/src/limiter.rs
@@ -11,10 +11,12 @@
 use crate::http::Message;
 
 const PR_SET_PDEATHSIG: i32 = 1;
-const SIGKILL: u64 = 9;
+pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
 
 extern "C" {
     fn prctl(option: i32, ...) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
 }
 
 /// Has the kernel kill the program if this process ends without doing so.
@@ -22,7 +24,7 @@
     // SAFETY: the closure makes a single system call, which is allowed between fork and exec.
     unsafe {
         command.pre_exec(|| {
-            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
             Ok(())
         })
     }
@@ -100,14 +102,10 @@
         Limiter { name: name.to_string(), listen: *listen, folder, child }
     }
 
-    /// The process id.
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Sends a signal, named as `kill` takes it.
-    pub fn signal(&self, signal: &str) {
-        let _ = Command::new("kill").arg(format!("-{signal}")).arg(self.pid().to_string()).status();
+    /// Sends a signal.
+    pub fn signal(&self, signal: i32) {
+        // SAFETY: a single system call without pointers; the process is a child that has not been waited for.
+        unsafe { kill(self.child.id() as i32, signal) };
     }
 
     /// Waits until `GET /up` is answered with 200; false if that takes over 30 s.
