Log connections that are closed with a request on them unanswered

Change: the counts of a client's connections (servers, counter, discovery) are one type. It logs numbers 1, 2, 4, 8 and so on of the connections that were closed with a request written and unanswered, with the peer and the request's age.

--- a/crates/daemon/src/counter/client.rs
+++ b/crates/daemon/src/counter/client.rs
@@ -3,6 +3,7 @@
 use crate::count_guard::CountGuard;
 use crate::log;
 use crate::upstream::connection::{ExchangeError, HttpConnection};
+use crate::upstream::connection_counts::ConnectionCounts;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HOST;
@@ -38,7 +39,7 @@
     address: Cell<Option<SocketAddr>>,
     timeout: Duration,
     idle: RefCell<Vec<HttpConnection>>,
-    open_sockets: Rc<Cell<usize>>,
+    connections: Rc<ConnectionCounts>,
     calls_in_flight: Rc<Cell<usize>>,
     failed_connects: Cell<u32>,
     /// Time before which calls fail without a connection attempt.
@@ -78,7 +79,7 @@
             address: Cell::new(address),
             timeout: Duration::from_secs_f64(timeout_s),
             idle: RefCell::default(),
-            open_sockets: Rc::default(),
+            connections: ConnectionCounts::new("counter"),
             calls_in_flight: Rc::default(),
             failed_connects: Cell::new(0),
             backoff_until: Cell::new(None),
@@ -173,7 +174,7 @@
     }
 
     async fn connect(&self, address: SocketAddr, deadline: Instant) -> Option<HttpConnection> {
-        match timeout_at(deadline, HttpConnection::connect(address, &self.open_sockets)).await {
+        match timeout_at(deadline, HttpConnection::connect(address, &self.connections)).await {
             Ok(Ok(connection)) => {
                 self.failed_connects.set(0);
                 Some(connection)
--- a/crates/daemon/src/discovery/session.rs
+++ b/crates/daemon/src/discovery/session.rs
@@ -6,9 +6,9 @@
 use super::upstream::Upstream;
 use super::watch::{Call, Watch, WatchError};
 use super::watch_request::WatchRequest;
+use crate::upstream::connection_counts::ConnectionCounts;
 use liftrouter_catalog::{ApplyError, Update};
 use liftrouter_discovery::{CallId, Event, Follower};
-use std::cell::Cell;
 use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,7 +48,7 @@
     /// Consecutive failed calls.
     failures: u32,
     /// Number of open connections.
-    open_connections: Rc<Cell<usize>>,
+    connections: Rc<ConnectionCounts>,
 }
 
 impl<S: ListSink> Session<S> {
@@ -70,7 +70,7 @@
             confirmed_at: now,
             needs_complete_list: false,
             failures: 0,
-            open_connections: Rc::default(),
+            connections: ConnectionCounts::new("discovery"),
         }
     }
 
@@ -129,7 +129,7 @@
             timeout: self.follower.call_timeout(),
             max_message_bytes: self.upstream.max_message_bytes(),
             heartbeat_timeout: self.follower.heartbeat_timeout(),
-            open_connections: self.open_connections.clone(),
+            connections: self.connections.clone(),
             received_bytes: self.upstream.received_bytes().clone(),
             answered: self.answered_sender.clone(),
         };
--- a/crates/daemon/src/discovery/watch.rs
+++ b/crates/daemon/src/discovery/watch.rs
@@ -3,6 +3,7 @@
 use super::watch_event::{FramingError, WatchDecoder, WatchEvent};
 use super::watch_request::WatchRequest;
 use crate::upstream::connection::HttpConnection;
+use crate::upstream::connection_counts::ConnectionCounts;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HOST, RETRY_AFTER};
@@ -117,8 +118,8 @@
     pub max_message_bytes: usize,
     /// The time limit for the first heartbeat after the response head.
     pub heartbeat_timeout: Duration,
-    /// Number of open connections.
-    pub open_connections: Rc<Cell<usize>>,
+    /// The session's connections.
+    pub connections: Rc<ConnectionCounts>,
     /// Bytes received in response bodies.
     pub received_bytes: Rc<Cell<u64>>,
     /// Receives the call's id when the head of a successful response has arrived.
@@ -152,9 +153,8 @@
     }
 
     async fn receive_head(&self) -> Result<(HttpConnection, Response<Incoming>), WatchError> {
-        let mut connection = HttpConnection::connect(self.address, &self.open_connections)
-            .await
-            .map_err(WatchError::Connect)?;
+        let mut connection =
+            HttpConnection::connect(self.address, &self.connections).await.map_err(WatchError::Connect)?;
         let request = Request::get(self.request.target());
         let request = request.header(HOST, self.address.to_string()).body(Full::default());
         let request = request.map_err(WatchError::Request)?;
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -1,16 +1,17 @@
 //! An outgoing HTTP/1.1 connection that is driven by its owner, without a background task, a pool or retries.
 //!
-//! Dropping an [`HttpConnection`] closes its socket at once, and no request is ever sent twice.
+//! Dropping an [`HttpConnection`] closes its socket at once, and no request is ever sent twice. What the kernel has not
+//! sent by then is discarded: a server that cannot be reached for a while must not receive a request that was given up,
+//! since it may have been sent to another server meanwhile.
 
+use super::connection_counts::ConnectionCounts;
 use super::socket::{Socket, SocketIo, WriteProgress};
-use crate::count_guard::CountGuard;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
@@ -76,30 +77,63 @@
     }
 }
 
+/// Counts a connection as open until it is dropped.
+struct OpenConnection(Rc<ConnectionCounts>);
+
+impl OpenConnection {
+    fn new(counts: &Rc<ConnectionCounts>) -> Self {
+        counts.opening();
+        OpenConnection(counts.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.closed();
+    }
+}
+
 /// An HTTP/1.1 connection that carries one request at a time.
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: Driver,
     socket: Rc<Socket>,
-    _counted: CountGuard<Rc<Cell<usize>>>,
+    address: SocketAddr,
+    open: OpenConnection,
+    /// When the request that is unanswered was begun; `None` if there is none.
+    unanswered_since: Option<Instant>,
+    /// Whether the server has read all that was written: a server may answer any status but 200 before it has.
+    has_read_all: bool,
     /// When the latest request on the connection ended, or when the connection was opened.
     pub last_used: Instant,
 }
 
 impl HttpConnection {
-    /// Opens a connection, and counts it in `open_sockets` until it is dropped. Has no timeout; the caller sets one.
+    /// Opens a connection, and counts it as open until it is dropped. Has no timeout; the caller sets one.
     ///
     /// # Errors
     /// The connect or the handshake failed.
-    pub async fn connect(address: SocketAddr, open_sockets: &Rc<Cell<usize>>) -> io::Result<HttpConnection> {
-        let counted = CountGuard::new(open_sockets.clone());
+    pub async fn connect(address: SocketAddr, counts: &Rc<ConnectionCounts>) -> io::Result<HttpConnection> {
+        let open = OpenConnection::new(counts);
         let socket = Socket::new(TcpStream::connect(address).await?);
+        // Set from the start, so that it holds as well when the process ends or is killed.
+        socket.reset_on_close(true);
         let mut http = http1::Builder::new();
         http.max_buf_size(MAX_BUFFER);
         let handshake = http.handshake(TokioIo::new(SocketIo(socket.clone())));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let driver = Driver { connection: Box::pin(connection), has_ended: false };
-        Ok(HttpConnection { sender, driver, socket, _counted: counted, last_used: Instant::now() })
+        let last_used = Instant::now();
+        Ok(HttpConnection {
+            sender,
+            driver,
+            socket,
+            address,
+            open,
+            unanswered_since: None,
+            has_read_all: true,
+            last_used,
+        })
     }
 
     /// The connection's socket.
@@ -154,12 +188,19 @@
             return Err(ExchangeError::NotSent);
         }
         socket.reset_responded_early();
+        self.unanswered_since = Some(Instant::now());
+        self.has_read_all = false;
         let result = self.receive_response(request).await;
-        match socket.write_progress() {
+        let result = match socket.write_progress() {
             WriteProgress::Complete if socket.responded_early() => Err(ExchangeError::Broken),
             WriteProgress::None | WriteProgress::Partial => Err(ExchangeError::NotSent),
             WriteProgress::Complete => result,
+        };
+        if let Ok(response) = &result {
+            self.unanswered_since = None;
+            self.has_read_all = response.status() == StatusCode::OK;
         }
+        result
     }
 
     /// Sends a request and waits for the response, which has to be complete in time once it has begun.
@@ -233,3 +274,15 @@
         is_ready && !self.driver.has_ended
     }
 }
+
+impl Drop for HttpConnection {
+    fn drop(&mut self) {
+        let written = self.socket.write_progress();
+        if let Some(since) = self.unanswered_since.filter(|_| written != WriteProgress::None) {
+            self.open.0.closed_unanswered(self.address, written, since.elapsed());
+        }
+        if self.has_read_all {
+            self.socket.reset_on_close(false);
+        }
+    }
+}
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 pub mod attempt;
 pub mod connection;
+pub mod connection_counts;
 pub mod headers;
 mod health_check;
 mod load_report;
--- a/crates/daemon/src/upstream/servers.rs
+++ b/crates/daemon/src/upstream/servers.rs
@@ -1,8 +1,9 @@
 //! The table of servers, with the address, the state and the idle connections of each.
 
 use super::connection::HttpConnection;
+use super::connection_counts::ConnectionCounts;
 use liftrouter_decision::{EndpointId, EndpointState, Settings};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -39,7 +40,7 @@
     table: RefCell<HashMap<EndpointId, Server>>,
     connect_timeout: Duration,
     idle_timeout: Duration,
-    open_sockets: Rc<Cell<usize>>,
+    connections: Rc<ConnectionCounts>,
     max_sockets: usize,
     /// Maximum number of units that a request can use.
     pub(super) max_units: f64,
@@ -55,7 +56,7 @@
             table: RefCell::default(),
             connect_timeout: Duration::from_secs_f64(connect_timeout_s),
             idle_timeout: Duration::from_secs_f64(IDLE_TIMEOUT_RATIO * server_idle_timeout_s),
-            open_sockets: Rc::default(),
+            connections: ConnectionCounts::new("servers"),
             max_sockets,
             max_units: or(settings.max_request_units, f64::MAX),
         }
@@ -135,7 +136,7 @@
     /// Ensures that one more socket may be opened, if necessary by closing the longest idle connection. Returns `false`
     /// if the limit is reached and no connection is idle.
     pub(super) fn reserve_socket(&self) -> bool {
-        if self.open_sockets.get() < self.max_sockets {
+        if self.connections.open() < self.max_sockets {
             return true;
         }
         let mut table = self.table.borrow_mut();
@@ -146,7 +147,7 @@
 
     /// Opens a connection; `None` if that fails or times out.
     pub(super) async fn connect(&self, address: SocketAddr) -> Option<HttpConnection> {
-        let connecting = HttpConnection::connect(address, &self.open_sockets);
+        let connecting = HttpConnection::connect(address, &self.connections);
         timeout(self.connect_timeout, connecting).await.ok()?.ok()
     }
 
