Reset connections to servers that are closed before all was answered

Cause: an attempt was given up by closing its connection in order. The kernel goes on sending what it had accepted, so the request reached its server when the room came back, long after it was sent elsewhere. The limiter bounds when it writes; nothing bounded when that arrives.

Aborting an attempt closes its socket at once, where it had shut it down and left the close to the task.

--- a/crates/daemon/src/upstream/socket.rs
+++ b/crates/daemon/src/upstream/socket.rs
@@ -4,7 +4,8 @@
 
 use super::read_ahead::ReadAhead;
 use socket2::SockRef;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
+use std::future::poll_fn;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -36,7 +37,8 @@
 
 /// A TCP socket that tracks the progress of the latest message and the response to it.
 pub struct Socket {
-    stream: TcpStream,
+    /// `None` once the socket is aborted.
+    stream: RefCell<Option<TcpStream>>,
     write_progress: Cell<WriteProgress>,
     /// Whether the peer has sent anything since [`Socket::expect_response`].
     is_responding: Cell<bool>,
@@ -53,7 +55,7 @@
     pub fn new(stream: TcpStream) -> Rc<Self> {
         let _ = stream.set_nodelay(true);
         Rc::new(Socket {
-            stream,
+            stream: RefCell::new(Some(stream)),
             write_progress: Cell::new(WriteProgress::None),
             is_responding: Cell::new(false),
             responded_early: Cell::new(false),
@@ -94,10 +96,44 @@
         self.responded_early.set(false);
     }
 
-    /// Shuts the connection down at once, even before its owner is dropped: a server must not receive the next attempt
-    /// of a request while the connection of this one still looks open.
+    /// Whether closing the connection resets it. The kernel then discards what it has not sent yet; otherwise it goes on
+    /// sending that after the close, for minutes if the peer cannot be reached, even if the process has ended.
+    pub(super) fn reset_on_close(&self, reset: bool) {
+        if let Ok(stream) = self.stream() {
+            let _ = SockRef::from(&*stream).set_linger(reset.then_some(Duration::ZERO));
+        }
+    }
+
+    /// Closes the connection at once, even before its owner is dropped: a server must not receive the next attempt of a
+    /// request while the connection of this one still looks open.
     pub fn abort(&self) {
-        let _ = SockRef::from(&self.stream).shutdown(Shutdown::Both);
+        self.stream.take();
+    }
+
+    /// The stream.
+    ///
+    /// # Errors
+    /// The socket was aborted.
+    fn stream(&self) -> io::Result<Ref<'_, TcpStream>> {
+        let stream = Ref::filter_map(self.stream.borrow(), Option::as_ref);
+        stream.map_err(|_| io::ErrorKind::ConnectionAborted.into())
+    }
+
+    /// Reads what has arrived.
+    fn poll_try_read(&self, cx: &mut Context<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
+        let stream = self.stream()?;
+        loop {
+            ready!(stream.poll_read_ready(cx))?;
+            match stream.try_read(buffer) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    /// Shuts down the sending side.
+    fn shut_down_write(&self) -> io::Result<()> {
+        SockRef::from(&*self.stream()?).shutdown(Shutdown::Write)
     }
 
     /// Discards the recorded bytes, and records up to `limit` bytes that are received from now on. With a limit of 0,
@@ -122,14 +158,13 @@
     /// connection, `max_time` has passed or `max_bytes` have been received. Closing a socket with unread data would
     /// reset the connection, and the peer could lose the response.
     pub async fn lingering_close(&self, max_time: Duration, max_bytes: usize) {
-        let _ = SockRef::from(&self.stream).shutdown(Shutdown::Write);
+        let _ = self.shut_down_write();
         let discard = async {
             let mut left = max_bytes;
             let mut buffer = vec![0; DISCARD_BUFFER];
-            while left > 0 && self.stream.readable().await.is_ok() {
-                match self.stream.try_read(&mut buffer) {
+            while left > 0 {
+                match poll_fn(|cx| self.poll_try_read(cx, &mut buffer)).await {
                     Ok(count) if count > 0 => left = left.saturating_sub(count),
-                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                     _ => break,
                 }
             }
@@ -146,14 +181,9 @@
             if read_ahead.is_finished() {
                 return Poll::Ready(());
             }
-            if let Err(error) = ready!(self.stream.poll_read_ready(cx)) {
-                read_ahead.set_end(Err(error));
-                continue;
-            }
-            match self.stream.try_read(&mut buffer) {
+            match ready!(self.poll_try_read(cx, &mut buffer)) {
                 Ok(0) => read_ahead.set_end(Ok(())),
                 Ok(count) => read_ahead.push(&buffer[..count]),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => read_ahead.set_end(Err(error)),
             }
         }
@@ -172,8 +202,9 @@
         if !self.read_ahead.borrow().is_empty() {
             return false;
         }
+        let Ok(stream) = self.stream() else { return false };
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        let peeked = SockRef::from(&*stream).peek(&mut byte);
         matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
@@ -207,17 +238,9 @@
         if let Some(end) = read_ahead.end() {
             return Poll::Ready(end);
         }
-        loop {
-            ready!(socket.stream.poll_read_ready(cx))?;
-            match socket.stream.try_read(buffer.initialize_unfilled()) {
-                Ok(count) => {
-                    socket.received(buffer, count);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
+        let count = ready!(socket.poll_try_read(cx, buffer.initialize_unfilled()))?;
+        socket.received(buffer, count);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -231,9 +254,10 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        let stream = self.0.stream()?;
         loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match self.0.stream.try_write_vectored(slices) {
+            ready!(stream.poll_write_ready(cx))?;
+            match stream.try_write_vectored(slices) {
                 Ok(count) => {
                     if count > 0 {
                         self.0.write_progress.set(WriteProgress::Partial);
@@ -260,6 +284,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
+        Poll::Ready(self.0.shut_down_write())
     }
 }
