Rehearsal: a held attempt is beside another only until its connection ends

Cause, in the kit: a link that holds bytes hands an attempt to its node late, and the node then looked for attempts that are out at that moment.

Change: an attempt whose connection has ended is held against those alone that arrived before that end, by the times at the link. One that had not ended when another came is accused as before; the test has both. Without the change it fails in the first (0 and 1 where 0 and 0 is expected).

--- a/crates/rehearsal/src/standin/nodes.rs
+++ b/crates/rehearsal/src/standin/nodes.rs
@@ -6,7 +6,7 @@
 //! back only when the last of them is over.
 
 use super::list::{Entry, List};
-use super::Conn;
+use super::{Asked, Conn};
 use crate::history::{AttemptId, Event, Listed, NodeNews, Over, Recorder, TryId};
 use crate::ledger::cold_rule;
 use crate::ledger::stores::ColdBudget;
@@ -15,7 +15,7 @@
 pub use crate::node::Condition;
 use crate::node::{cell, Wants, DRAIN_NOTICE};
 use crate::scenario::Scenario;
-use crate::schedule::{micros, Arrival, Micros, Schedule};
+use crate::schedule::{micros, Arrival, Schedule};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
@@ -53,8 +53,13 @@
     attempt.is_some_and(|attempt| text == body(id, attempt, secret))
 }
 
-/// Attempts of one try that were open when last seen, with their sockets.
-type OpenAttempts = Vec<(AttemptId, Arc<TcpStream>)>;
+/// An attempt whose connection was open when it was last looked at.
+struct OpenAttempt {
+    attempt: AttemptId,
+    /// When its first byte arrived at the link.
+    arrived: Instant,
+    socket: Arc<TcpStream>,
+}
 
 /// What all nodes share.
 pub struct Shared {
@@ -69,7 +74,7 @@
     attempts: AtomicU32,
     at: Option<SocketAddr>,
     /// Attempts by try whose connections were open when last seen.
-    open: Mutex<HashMap<TryId, OpenAttempts>>,
+    open: Mutex<HashMap<TryId, Vec<OpenAttempt>>>,
     /// Keys that have been worked on, and until when a repeat is dropped.
     keys: Mutex<HashMap<String, Instant>>,
 }
@@ -170,20 +175,22 @@
         other.map(|(part, found, sent)| format!("{part} {found:?}, sent as {sent:?}"))
     }
 
-    /// Attempts of a try that are out now; the new one joins them.
-    fn opened(&self, id: TryId, attempt: AttemptId, socket: Arc<TcpStream>) -> Vec<AttemptId> {
+    /// The attempts of a try that are out at the same time as a new one, which joins them. A link may hold the new one
+    /// until the limiter has ended its connection, at `ended`: an attempt that arrived after that was never out beside it.
+    fn opened(&self, id: TryId, new: OpenAttempt, ended: Option<Instant>) -> Vec<AttemptId> {
         let mut open = locked(&self.open);
         let all = open.entry(id).or_default();
-        all.retain(|(_, socket)| looks_open(socket));
-        let others = all.iter().map(|(a, _)| *a).collect();
-        all.push((attempt, socket));
+        all.retain(|other| looks_open(&other.socket));
+        let overlaps = |other: &&OpenAttempt| ended.is_none_or(|ended| other.arrived < ended);
+        let others = all.iter().filter(overlaps).map(|other| other.attempt).collect();
+        all.push(new);
         others
     }
 
     fn closed(&self, id: TryId, attempt: AttemptId) {
         let mut open = locked(&self.open);
         if let Some(all) = open.get_mut(&id) {
-            all.retain(|(a, _)| *a != attempt);
+            all.retain(|open| open.attempt != attempt);
             if all.is_empty() {
                 open.remove(&id);
             }
@@ -467,8 +474,7 @@
             if let Some(cost) = handshake.take().filter(|cost| !cost.is_zero()) {
                 sleep(cost).await;
             }
-            let times = (self.shared.recorder.at(asked.first), self.shared.recorder.at(asked.last));
-            if !self.serve(&life, limiter, (&asked.request, times), &mut conn.pipe, over).await {
+            if !self.serve(&life, limiter, &asked, &mut conn.pipe, over).await {
                 if !*life.runs.borrow() {
                     conn.pipe.reset();
                 }
@@ -483,10 +489,12 @@
         self: &Arc<Self>,
         life: &Arc<Life>,
         limiter: u16,
-        (request, (first, last)): (&Request, (Micros, Micros)),
+        asked: &Asked,
         pipe: &mut Pipe,
         crowded: bool,
     ) -> bool {
+        let request = &asked.request;
+        let (first, last) = (self.shared.recorder.at(asked.first), self.shared.recorder.at(asked.last));
         if matches!(request.target.as_str(), "/metrics/load" | "/alive") {
             self.shared.recorder.note(Event::Probed { limiter });
             let report = self.report(life);
@@ -499,7 +507,8 @@
         };
         let version = request.headers.get("x-inventory").and_then(|v| v.parse().ok());
         let attempt = self.shared.attempts.fetch_add(1, Ordering::SeqCst);
-        let open = self.shared.opened(id, attempt, pipe.socket());
+        let new = OpenAttempt { attempt, arrived: asked.first, socket: pipe.socket() };
+        let open = self.shared.opened(id, new, pipe.ended_at());
         let (node, number) = (self.index, life.number);
         self.shared
             .recorder
--- a/crates/rehearsal/tests/nodes.rs
+++ b/crates/rehearsal/tests/nodes.rs
@@ -56,7 +56,9 @@
     let recorder: Arc<Recorder> = Arc::default();
     let list = List::new(recorder.clone());
     let link = Link::new();
-    let links = vec![vec![link.clone()]];
+    // The first limiter's link can be troubled.
+    let mut links = vec![vec![link.clone()]];
+    links.resize_with(scenario.limiters.count, || vec![Link::new()]);
     let fleet =
         Fleet::start(Arc::new(scenario), Arc::new(schedule), recorder.clone(), list.clone(), links, None);
     World { fleet: fleet.expect("a fleet"), list, recorder, link }
@@ -64,7 +66,12 @@
 
 impl World {
     fn address(&self) -> SocketAddr {
-        let whole = self.list.whole(0);
+        self.address_for(0)
+    }
+
+    /// The node's address for this limiter.
+    fn address_for(&self, limiter: usize) -> SocketAddr {
+        let whole = self.list.whole(limiter);
         whole["instances"][0]["hostPort"].as_str().expect("it is listed").parse().expect("an address")
     }
 
@@ -191,6 +198,42 @@
     assert_eq!(open, [0, 1, 0]);
 }
 
+/// Guards against a limiter that is accused of two attempts at once for one that a link held until after its connection had
+/// ended, and against one that goes free since its first attempt was held.
+#[tokio::test]
+async fn a_held_attempt_is_beside_another_only_if_the_other_came_before_its_end() {
+    for (ends_before, expected) in [(true, [0, 0]), (false, [0, 1])] {
+        let w = world(|s| (s.nodes.cores, s.limiters.count) = (4, 2));
+        w.fleet.nodes[0].slow_down(1, 40.0);
+        let id = Arrival::id(0, 0);
+        let mut held = w.connect().await;
+        let mut other = TcpStream::connect(w.address_for(1)).await.expect("connect");
+        w.link.begin(1, Trouble::Held);
+        write(&mut held, id, "k").await;
+        if ends_before {
+            drop(held);
+            // The link sees the end.
+            sleep(Duration::from_millis(50)).await;
+            write(&mut other, id, "k").await;
+            w.wait_for_arrivals(1).await;
+        } else {
+            write(&mut other, id, "k").await;
+            w.wait_for_arrivals(1).await;
+            drop(held);
+            sleep(Duration::from_millis(50)).await;
+        }
+        w.link.undo(1);
+        w.wait_for_arrivals(2).await;
+        let mut open: Vec<_> = w
+            .history()
+            .into_iter()
+            .filter_map(|e| if let Event::Arrived { open, .. } = e.event { Some(open.len()) } else { None })
+            .collect();
+        open.sort_unstable();
+        assert_eq!(open, expected, "ends before the other comes: {ends_before}");
+    }
+}
+
 #[tokio::test]
 async fn behind_a_held_link_an_attempt_is_out_until_its_answer_is_on_the_wire() {
     let w = world(|_| {});
@@ -222,6 +265,15 @@
         self.history_so_far().iter().filter(|e| matches!(e.event, Event::Arrived { .. })).count()
     }
 
+    /// Waits until so many attempts have come.
+    async fn wait_for_arrivals(&self, count: usize) {
+        let limit = Instant::now() + LONG;
+        while self.arrived() < count {
+            assert!(Instant::now() < limit, "attempt {count} does not arrive");
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     /// The history, without taking it out of the recorder.
     fn history_so_far(&self) -> Vec<Entry> {
         let all = self.recorder.history();
