Answer requests that wait for an authorizer before a shutdown ends

Cause: the shutdown's deadline reached the host's table alone. A request joins that table after its authorizer has decided; until then it was not counted, not failed when the time was up, and its own deadline stayed as it was when it came. The same holds wherever a request waits before the host.

Fix: one ShutdownDeadline, kept by the admission, limits every wait before the host: the authorizer, the body over HTTP, the message over gRPC. What is not with the host by then is refused (503, UNAVAILABLE): nothing was sent, so a retry does no harm. The admission counts a request from the moment it is whole until its answer, wherever it waits; the log and the exit code go by that count.

--- a/crates/daemon/src/events/answer.rs
+++ b/crates/daemon/src/events/answer.rs
@@ -37,6 +37,8 @@
     Limit,
     /// The endpoint list has not been confirmed in time and may be out of date.
     EndpointListExpired,
+    /// The process shuts down, and the request was not forwarded in time.
+    ShuttingDown,
 }
 
 impl Rejection {
@@ -45,6 +47,11 @@
         Rejection { retry_after_s, cause: RejectionCause::Limit }
     }
 
+    /// A rejection with the cause [`RejectionCause::ShuttingDown`].
+    pub fn shutting_down() -> Self {
+        Rejection { retry_after_s: 0.0, cause: RejectionCause::ShuttingDown }
+    }
+
     /// The body of the HTTP response: one line of text.
     pub fn body(&self) -> &'static str {
         match self.cause {
@@ -52,6 +59,7 @@
             RejectionCause::EndpointListExpired => {
                 "refused: the list of servers is out of date; trying again is harmless\n"
             }
+            RejectionCause::ShuttingDown => "refused: the limiter is ending; trying again is harmless\n",
         }
     }
 }
--- a/crates/daemon/src/events/queue.rs
+++ b/crates/daemon/src/events/queue.rs
@@ -1,23 +1,19 @@
-//! The event queue, and the numbers of open and unanswered requests.
+//! The event queue, and the number of open requests.
 
 use super::{Answer, HostEvent, IncomingRequest};
-use crate::count_guard::CountGuard;
 use liftrouter_decision::RequestId;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 
-/// Sends the answer to a request. The request counts as unanswered until this is dropped.
-pub struct ReplySender {
-    sender: oneshot::Sender<Answer>,
-    _unanswered: CountGuard<Rc<Cell<usize>>>,
-}
+/// Sends the answer to a request.
+pub struct ReplySender(oneshot::Sender<Answer>);
 
 impl ReplySender {
     /// Sends the answer. It is discarded if the client has disconnected.
     pub fn send(self, answer: Answer) {
-        let _ = self.sender.send(answer);
+        let _ = self.0.send(answer);
     }
 }
 
@@ -28,7 +24,6 @@
     pushed: Notify,
     last_id: Cell<RequestId>,
     open_requests: Cell<usize>,
-    unanswered_requests: Rc<Cell<usize>>,
 }
 
 impl EventQueue {
@@ -49,8 +44,7 @@
         self.last_id.set(id);
         self.open_requests.set(self.open_requests.get() + 1);
         let (sender, answer) = oneshot::channel();
-        let reply = ReplySender { sender, _unanswered: CountGuard::new(self.unanswered_requests.clone()) };
-        self.push(HostEvent::RequestReceived { id, request, reply });
+        self.push(HostEvent::RequestReceived { id, request, reply: ReplySender(sender) });
         (id, answer)
     }
 
@@ -59,11 +53,6 @@
         self.open_requests.get()
     }
 
-    /// Number of requests without an answer.
-    pub fn unanswered_requests(&self) -> usize {
-        self.unanswered_requests.get()
-    }
-
     /// Called by the host when a request is answered and has no attempt in flight.
     pub fn request_closed(&self) {
         self.open_requests.set(self.open_requests.get().saturating_sub(1));
--- a/crates/daemon/src/listeners/admission.rs
+++ b/crates/daemon/src/listeners/admission.rs
@@ -5,6 +5,7 @@
 
 use super::body_budget::{BodyBudget, BodyReservation};
 use super::open_ids::{OpenRequestId, OpenRequestIds};
+use super::shutdown_deadline::ShutdownDeadline;
 use crate::authorizer::{Authorization, AuthorizationRequest, Authorizer, Authorizers, Fallback};
 use crate::count_guard::CountGuard;
 use crate::events::{Answer, DisconnectGuard, EventQueue, IncomingRequest, Rejection, RequestKind};
@@ -29,8 +30,10 @@
     authorizers: Authorizers,
     /// The number of requests that wait for an authorizer. The event queue does not count them yet.
     awaiting_authorization: Cell<usize>,
+    /// The number of accepted requests without an answer, wherever they wait.
+    unanswered: Cell<usize>,
     /// The time by which all requests must be answered, set once the process shuts down.
-    shutdown_deadline: Cell<Option<Instant>>,
+    shutdown_deadline: ShutdownDeadline,
 }
 
 /// The result of calling an authorizer about a request.
@@ -56,23 +59,20 @@
             open_ids: OpenRequestIds::default(),
             authorizers,
             awaiting_authorization: Cell::new(0),
-            shutdown_deadline: Cell::new(None),
+            unanswered: Cell::new(0),
+            shutdown_deadline: ShutdownDeadline::default(),
         })
     }
 
-    /// Caps the deadlines of requests at `deadline` from now on. Requests that arrive after `deadline` are not
-    /// admitted.
-    pub fn set_shutdown_deadline(&self, deadline: Instant) {
-        self.shutdown_deadline.set(Some(deadline));
+    /// The time by which all requests must be answered. From then on no request is admitted or submitted to the host, and
+    /// those that wait for an authorizer are rejected.
+    pub fn shutdown_deadline(&self) -> &ShutdownDeadline {
+        &self.shutdown_deadline
     }
 
-    /// Returns `deadline`, capped at the shutdown deadline. `None` if the process is shutting down and the capped
-    /// deadline has passed.
-    pub fn answer_deadline(&self, deadline: Instant) -> Option<Instant> {
-        match self.shutdown_deadline.get() {
-            None => Some(deadline),
-            Some(end) => Some(deadline.min(end)).filter(|deadline| *deadline > Instant::now()),
-        }
+    /// Number of accepted requests without an answer.
+    pub fn unanswered_requests(&self) -> usize {
+        self.unanswered.get()
     }
 
     /// Reserves memory for a body; `None` if the budget has too little left.
@@ -104,17 +104,25 @@
         mut request: IncomingRequest,
         authorization: &AuthorizationRequest<'_>,
     ) -> (Answer, HeaderChanges) {
+        let _unanswered = CountGuard::new(&self.unanswered);
         let Some((authorizer, fallback)) = self.authorizers.for_class(&request.class) else {
             return (self.submit(request).await, HeaderChanges::default());
         };
-        let changes = match self.authorize(authorizer, fallback, authorization).await {
-            AuthorizationResult::Allowed(changes) => changes,
-            AuthorizationResult::Answered(answer) => return (answer, HeaderChanges::default()),
+        let result = self.shutdown_deadline.limit(self.authorize(authorizer, fallback, authorization)).await;
+        let changes = match result {
+            Some(AuthorizationResult::Answered(answer)) => return (answer, HeaderChanges::default()),
+            Some(AuthorizationResult::Allowed(changes)) if !self.shutdown_deadline.has_passed() => changes,
+            Some(AuthorizationResult::Allowed(_)) | None => return shutting_down(),
         };
         if let RequestKind::Forward(forward) = &mut request.kind {
             // `get_mut` succeeds, since the request is not shared before it is submitted.
             if let Some(forward) = Rc::get_mut(forward) {
                 changes.apply(&mut forward.headers, &RESERVED);
+                // The shutdown may have begun while the authorizer was asked.
+                let Some(deadline) = self.shutdown_deadline.cap(forward.deadline) else {
+                    return shutting_down();
+                };
+                forward.deadline = deadline;
             }
         }
         (self.submit(request).await, changes)
@@ -155,3 +163,8 @@
         answer.unwrap_or(Answer::Failed)
     }
 }
+
+/// The answer to a request that was not submitted to the host before the shutdown deadline.
+fn shutting_down() -> (Answer, HeaderChanges) {
+    (Answer::Rejected(Rejection::shutting_down()), HeaderChanges::default())
+}
--- a/crates/daemon/src/listeners/grpc/authorization.rs
+++ b/crates/daemon/src/listeners/grpc/authorization.rs
@@ -1,10 +1,12 @@
 //! `envoy.service.auth.v3.Authorization/Check`: decides a check request.
 
 use super::context::CallContext;
-use super::unary::{deadline_exceeded, invalid_argument, parse_deadline, read_message, MAX_WAIT};
+use super::unary::{
+    deadline_exceeded, invalid_argument, parse_deadline, read_message, shutting_down, MAX_WAIT,
+};
 use crate::authorizer::{AuthorizationRequest, VIA};
 use crate::decimal::parse_decimal;
-use crate::events::{Answer, DisconnectGuard, IncomingRequest, RequestKind};
+use crate::events::{Answer, DisconnectGuard, IncomingRequest, RejectionCause, RequestKind};
 use crate::listeners::fields::{self, MAX_ID_BYTES};
 use crate::upstream::headers::RESERVED;
 use hyper::body::Incoming;
@@ -74,8 +76,7 @@
     if now >= deadline {
         return Err(deadline_exceeded());
     }
-    let deadline = admission.answer_deadline(deadline);
-    let deadline = deadline.ok_or_else(|| Status::new(Code::Unavailable, "the limiter is ending"))?;
+    let deadline = admission.shutdown_deadline().cap(deadline).ok_or_else(shutting_down)?;
     let request = IncomingRequest {
         customer: checked.customer,
         plan: fields.plan,
@@ -93,6 +94,9 @@
             Ok(Decision { response, disconnect: Some(disconnect) })
         }
         Ok((Answer::Denied(denial), _)) => Ok(Decision::denied(denial)),
+        Ok((Answer::Rejected(rejection), _)) if rejection.cause == RejectionCause::ShuttingDown => {
+            Err(shutting_down())
+        }
         Ok((Answer::Rejected(rejection), _)) => Ok(Decision::denied(rejected(rejection.retry_after_s))),
         // The host never answers an authorization request with a served response or a failure.
         Ok((Answer::Failed | Answer::Served(_), _)) => Err(Status::new(Code::Unavailable, "no decision")),
--- a/crates/daemon/src/listeners/grpc/unary.rs
+++ b/crates/daemon/src/listeners/grpc/unary.rs
@@ -39,6 +39,11 @@
     Status::new(Code::DeadlineExceeded, "the call's deadline has passed")
 }
 
+/// The status for a call that was not decided before the limiter ended.
+pub(super) fn shutting_down() -> Status {
+    Status::new(Code::Unavailable, "the limiter is ending")
+}
+
 /// The deadline of a call by its `grpc-timeout`, at most [`MAX_WAIT`] after `received_at`.
 pub(super) fn parse_deadline(headers: &HeaderMap, received_at: Instant) -> Result<Instant, Status> {
     let Some(value) = headers.get(GRPC_TIMEOUT) else { return Ok(received_at + MAX_WAIT) };
@@ -48,8 +53,19 @@
     Ok(received_at + timeout.min(MAX_WAIT))
 }
 
-/// Reads the message of a unary call, and reserves memory for it.
+/// Reads the message of a unary call, until the shutdown deadline at most, and reserves memory for it.
 pub(super) async fn read_message<'a, M: Message + Default>(
+    context: &'a CallContext,
+    headers: &HeaderMap,
+    body: Incoming,
+    deadline: Instant,
+) -> Result<(M, BodyReservation<'a>), Status> {
+    let message = read_whole_message(context, headers, body, deadline);
+    let message = context.admission.shutdown_deadline().limit(message).await;
+    message.unwrap_or_else(|| Err(shutting_down()))
+}
+
+async fn read_whole_message<'a, M: Message + Default>(
     context: &'a CallContext,
     headers: &HeaderMap,
     mut body: Incoming,
--- a/crates/daemon/src/listeners/http/reply.rs
+++ b/crates/daemon/src/listeners/http/reply.rs
@@ -1,7 +1,7 @@
 //! Builds HTTP replies to clients.
 
 use super::rejection::RequestError;
-use crate::events::{Answer, Rejection};
+use crate::events::{Answer, Rejection, RejectionCause};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
@@ -61,7 +61,11 @@
 }
 
 fn rejected(rejection: &Rejection) -> Reply {
-    let mut reply = plain(StatusCode::TOO_MANY_REQUESTS, rejection.body());
+    let status = match rejection.cause {
+        RejectionCause::Limit | RejectionCause::EndpointListExpired => StatusCode::TOO_MANY_REQUESTS,
+        RejectionCause::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut reply = plain(status, rejection.body());
     if rejection.retry_after_s > 0.0 {
         if let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", rejection.retry_after_s)) {
             reply.headers_mut().insert(RETRY_AFTER, seconds);
--- a/crates/daemon/src/listeners/http/request.rs
+++ b/crates/daemon/src/listeners/http/request.rs
@@ -49,13 +49,15 @@
             Some(accepted_at) => accepted_at + HEAD_TIMEOUT,
             None => Instant::now() + BODY_TIMEOUT,
         };
-        let body = body::read(body, body_deadline).await?;
+        // A body that is still incomplete at the shutdown deadline could become complete just as the process exits.
+        let body = admission.shutdown_deadline().limit(body::read(body, body_deadline)).await;
+        let body = body.ok_or(RequestError::ShuttingDown)??;
         if admission.is_full() {
             return Err(RequestError::TooManyOpenRequests);
         }
         // The request is complete: from here on it is accepted and must get exactly one answer.
         let deadline = Instant::now() + checked.time_left.saturating_sub(DEADLINE_MARGIN);
-        let deadline = admission.answer_deadline(deadline).ok_or(RequestError::ShuttingDown)?;
+        let deadline = admission.shutdown_deadline().cap(deadline).ok_or(RequestError::ShuttingDown)?;
         let open_id = admission.open_request_id(&checked.correlation_id);
         let _open_id = open_id.ok_or(RequestError::DuplicateId)?;
         let request = incoming_request(&head, checked, body, deadline)?;
--- a/crates/daemon/src/listeners/mod.rs
+++ b/crates/daemon/src/listeners/mod.rs
@@ -8,3 +8,4 @@
 pub mod grpc;
 pub mod http;
 pub mod open_ids;
+mod shutdown_deadline;
--- a/crates/daemon/src/serve/shutdown.rs
+++ b/crates/daemon/src/serve/shutdown.rs
@@ -38,8 +38,8 @@
     let deadline = Duration::from_secs_f64(longest_deadline_s.min(MAX_DEADLINE_S));
     let kill_at = Instant::now() + MIN_KILL_DELAY + deadline;
     let final_answers_at = kill_at - FINAL_ANSWERS_BEFORE_KILL;
-    log("liftrouter", format_args!("SIGTERM: finishing {} requests", events.unanswered_requests()));
-    admission.set_shutdown_deadline(final_answers_at);
+    log("liftrouter", format_args!("SIGTERM: finishing {} requests", admission.unanswered_requests()));
+    admission.shutdown_deadline().set(final_answers_at);
     listeners.drain();
     if let Some(cluster) = cluster {
         cluster.leave();
@@ -55,7 +55,7 @@
     // Connections that are still open after the timeout have no request, or an incomplete one.
     let _ = timeout_at(kill_at - EXIT_BEFORE_KILL, listeners.all_closed()).await;
     listeners.stop_accepting();
-    match events.unanswered_requests() {
+    match admission.unanswered_requests() {
         0 => Ok(()),
         unanswered => Err(ServeError::UnansweredRequests(unanswered)),
     }
