Accept the connections that are queued before a shutdown ends

What callers would see: at the limit on connections a client waits in the kernel's queue, its request written. When the last open connection of a limiter that shuts down closes, the process may end before it accepts that client, whose connection is reset: the request is lost.

Cause: the end of the shutdown and the accept loop wait for the same close. If the former runs first, it sees no connection and ends; the kernel's queue is not looked at.

Fix: before the shutdown ends it asks the kernel for queued connections and serves them like any other; it ends once there are none.

--- a/crates/daemon/src/listeners/accept.rs
+++ b/crates/daemon/src/listeners/accept.rs
@@ -1,6 +1,8 @@
 //! The accept loop that all listeners share. It enforces the connection limit and continues after transient errors.
 
 use crate::log::log;
+use socket2::SockRef;
+use std::io;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -16,7 +18,7 @@
 /// connection may already carry a request, and closing it would lose that request. `is_full` may ask an idle
 /// connection to close.
 pub async fn accept(
-    listener: TcpListener,
+    listener: &TcpListener,
     log_part: &str,
     closed: &Notify,
     is_full: impl Fn() -> bool,
@@ -35,3 +37,17 @@
         }
     }
 }
+
+/// Accepts the connections that are in the kernel's queue now, `max` of them at most, and passes each to
+/// `on_connection`. Returns whether there were any. Asks the kernel, since the runtime may not have been notified yet.
+pub fn accept_queued(listener: &TcpListener, max: usize, on_connection: impl Fn(TcpStream)) -> bool {
+    let queued = std::iter::from_fn(|| accept_now(listener).ok()).take(max);
+    queued.map(on_connection).count() > 0
+}
+
+/// Accepts a connection without waiting for one.
+fn accept_now(listener: &TcpListener) -> io::Result<TcpStream> {
+    let (socket, _) = SockRef::from(listener).accept()?;
+    socket.set_nonblocking(true)?;
+    TcpStream::from_std(socket.into())
+}
--- a/crates/daemon/src/listeners/grpc/mod.rs
+++ b/crates/daemon/src/listeners/grpc/mod.rs
@@ -13,7 +13,7 @@
 mod serve;
 mod unary;
 
-use super::accept::{accept, ACCEPT_PAUSE};
+use super::accept::{accept, accept_queued, ACCEPT_PAUSE};
 use super::admission::Admission;
 use connection::Connection;
 use context::CallContext;
@@ -24,7 +24,7 @@
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, Hasher};
 use std::rc::Rc;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::time::timeout;
 
@@ -69,7 +69,7 @@
     }
 
     /// Accepts connections until the future is dropped.
-    pub async fn accept(self: &Rc<Self>, listener: TcpListener) {
+    pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         let is_full = || {
             let is_full = self.connections.borrow().len() >= self.context.limits.max_connections;
             if is_full {
@@ -77,18 +77,25 @@
             }
             is_full
         };
-        let on_connection = |stream| {
-            let number = self.next_connection.replace(self.next_connection.get() + 1);
-            let connection = Connection::new(self.draining.get());
-            self.connections.borrow_mut().insert(number, connection.clone());
-            let server = self.clone();
-            tokio::task::spawn_local(async move {
-                serve::serve(&server.context, &connection, stream).await;
-                server.connections.borrow_mut().remove(&number);
-                server.closed.notify_one();
-            });
-        };
-        accept(listener, "grpc", &self.closed, is_full, on_connection).await;
+        accept(listener, "grpc", &self.closed, is_full, |stream| self.start_connection(stream)).await;
+    }
+
+    /// Accepts the connections that wait in the kernel's queue while none is open. Returns whether there were any.
+    pub fn accept_queued(self: &Rc<Self>, listener: &TcpListener) -> bool {
+        accept_queued(listener, self.context.limits.max_connections, |stream| self.start_connection(stream))
+    }
+
+    /// Serves a connection in a task of its own.
+    fn start_connection(self: &Rc<Self>, stream: TcpStream) {
+        let number = self.next_connection.replace(self.next_connection.get() + 1);
+        let connection = Connection::new(self.draining.get());
+        self.connections.borrow_mut().insert(number, connection.clone());
+        let server = self.clone();
+        tokio::task::spawn_local(async move {
+            serve::serve(&server.context, &connection, stream).await;
+            server.connections.borrow_mut().remove(&number);
+            server.closed.notify_one();
+        });
     }
 
     /// Begins the graceful shutdown: health checks return `NOT_SERVING`, and every connection is closed with GOAWAY.
--- a/crates/daemon/src/listeners/http/mod.rs
+++ b/crates/daemon/src/listeners/http/mod.rs
@@ -11,14 +11,14 @@
 mod reply;
 mod request;
 
-use super::accept::{accept, ACCEPT_PAUSE};
+use super::accept::{accept, accept_queued, ACCEPT_PAUSE};
 use super::admission::Admission;
 use crate::upstream::socket::Socket;
 use connection::Connection;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -59,7 +59,7 @@
     }
 
     /// Accepts connections until the future is dropped.
-    pub async fn accept(self: &Rc<Self>, listener: TcpListener) {
+    pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         let is_full = || {
             let is_full = self.connections.borrow().len() >= self.max_connections;
             if is_full {
@@ -67,21 +67,27 @@
             }
             is_full
         };
-        // Connections are registered here rather than in their tasks, so that the limit counts them at once: many may
-        // be accepted before the first task runs.
-        let on_connection = |stream| {
-            let socket = Socket::new(stream);
-            let number = self.next_connection.replace(self.next_connection.get() + 1);
-            let connection = Connection::new(socket.clone());
-            self.connections.borrow_mut().insert(number, connection.clone());
-            let server = self.clone();
-            tokio::task::spawn_local(async move {
-                server.serve_connection(&socket, &connection).await;
-                server.connections.borrow_mut().remove(&number);
-                server.closed.notify_one();
-            });
-        };
-        accept(listener, "clients", &self.closed, is_full, on_connection).await;
+        accept(listener, "clients", &self.closed, is_full, |stream| self.start_connection(stream)).await;
+    }
+
+    /// Accepts the connections that wait in the kernel's queue while none is open. Returns whether there were any.
+    pub fn accept_queued(self: &Rc<Self>, listener: &TcpListener) -> bool {
+        accept_queued(listener, self.max_connections, |stream| self.start_connection(stream))
+    }
+
+    /// Serves a connection in a task of its own. The connection is registered here rather than in its task, so that the
+    /// limit counts it at once: many may be accepted before the first task runs.
+    fn start_connection(self: &Rc<Self>, stream: TcpStream) {
+        let socket = Socket::new(stream);
+        let number = self.next_connection.replace(self.next_connection.get() + 1);
+        let connection = Connection::new(socket.clone());
+        self.connections.borrow_mut().insert(number, connection.clone());
+        let server = self.clone();
+        tokio::task::spawn_local(async move {
+            server.serve_connection(&socket, &connection).await;
+            server.connections.borrow_mut().remove(&number);
+            server.closed.notify_one();
+        });
     }
 
     /// Begins the graceful shutdown: replies carry `Connection: close`, idle connections are closed.
--- a/crates/daemon/src/relay/server.rs
+++ b/crates/daemon/src/relay/server.rs
@@ -34,7 +34,7 @@
     let serve = |stream: TcpStream| {
         spawn_local(serve_connection(stream, subscribers.clone()));
     };
-    accept::accept(listener, "relay", &closed, || false, serve).await;
+    accept::accept(&listener, "relay", &closed, || false, serve).await;
 }
 
 async fn serve_connection(stream: TcpStream, subscribers: SharedSubscribers) {
--- a/crates/daemon/src/serve/listeners.rs
+++ b/crates/daemon/src/serve/listeners.rs
@@ -63,6 +63,7 @@
 
 /// A listener and the task that accepts its connections.
 struct RunningListener<L> {
+    socket: Rc<TcpListener>,
     listener: Rc<L>,
     accept_task: JoinHandle<()>,
 }
@@ -103,14 +104,27 @@
         }
     }
 
-    /// Waits until all connections are closed.
+    /// Waits until all connections are closed, including those that wait in the kernel's queues: they may carry a request
+    /// already, which would be lost if the sockets closed now.
     pub async fn all_closed(&self) {
-        self.http.listener.all_closed().await;
-        if let Some(grpc) = &self.grpc {
-            grpc.listener.all_closed().await;
+        loop {
+            self.http.listener.all_closed().await;
+            if let Some(grpc) = &self.grpc {
+                grpc.listener.all_closed().await;
+            }
+            if !self.accept_queued() {
+                return;
+            }
         }
     }
 
+    /// Accepts the connections that wait in the kernel's queues. Returns whether there were any.
+    fn accept_queued(&self) -> bool {
+        let http = self.http.listener.accept_queued(&self.http.socket);
+        let grpc = self.grpc.as_ref().is_some_and(|grpc| grpc.listener.accept_queued(&grpc.socket));
+        http || grpc
+    }
+
     /// Stops accepting connections.
     pub fn stop_accepting(&self) {
         self.http.accept_task.abort();
@@ -126,11 +140,12 @@
     client_sockets: usize,
 ) -> RunningListener<HttpServer> {
     let listener = HttpServer::new(admission, client_sockets);
+    let socket = Rc::new(socket);
     let accept_task = spawn_local({
-        let listener = listener.clone();
-        async move { listener.accept(socket).await }
+        let (listener, socket) = (listener.clone(), socket.clone());
+        async move { listener.accept(&socket).await }
     });
-    RunningListener { listener, accept_task }
+    RunningListener { socket, listener, accept_task }
 }
 
 fn start_grpc(bound: BoundGrpc, admission: Rc<Admission>, name: String) -> RunningListener<GrpcServer> {
@@ -139,9 +154,10 @@
     if let Ok(address) = socket.local_addr() {
         log("liftrouter", format_args!("gRPC on {address}"));
     }
+    let socket = Rc::new(socket);
     let accept_task = spawn_local({
-        let listener = listener.clone();
-        async move { listener.accept(socket).await }
+        let (listener, socket) = (listener.clone(), socket.clone());
+        async move { listener.accept(&socket).await }
     });
-    RunningListener { listener, accept_task }
+    RunningListener { socket, listener, accept_task }
 }
--- a/crates/daemon/tests/shutdown_answers.rs
+++ b/crates/daemon/tests/shutdown_answers.rs
@@ -1,5 +1,5 @@
-//! Graceful shutdown while accepted requests are not with the host yet: they wait for an authorizer, or their bodies
-//! are still arriving. Each gets one answer before the process is killed.
+//! Graceful shutdown while accepted requests are not with the host yet: they wait for an authorizer, their bodies are
+//! still arriving, or their connections are in the kernel's queue. Each gets one answer before the process is killed.
 mod common;
 
 use common::grpc::*;
@@ -20,6 +20,8 @@
 const SHORT_DEADLINE_S: f64 = 0.8;
 /// gRPC status UNAVAILABLE.
 const UNAVAILABLE: u16 = 14;
+/// A configured number of sockets of which one is left for clients.
+const SOCKETS_FOR_ONE_CLIENT: u32 = 34;
 
 fn with_deadline(seconds: f64) -> Value {
     let mut settings = settings();
@@ -140,3 +142,33 @@
     assert_clean_exit(&mut limiter, terminated, SHORT_DEADLINE_S);
     assert_eq!(server.count_with_id(correlation_id(&request)), 0);
 }
+
+/// Guards against requests that are lost in the kernel's queue of connections: at the connection limit they wait there
+/// until another connection closes, and the process must not end between the two.
+#[test]
+fn a_request_in_the_queue_of_connections_is_answered_before_the_process_ends() {
+    in_parallel(0..8, |round| {
+        let (gate, server) = gated_server(|_| ok("served"));
+        let list = vec![instance("s-0", server.address, "in_service")];
+        let settings = with_deadline(SHORT_DEADLINE_S);
+        let mut limiter = Limiter::with_descriptor_limit(
+            SOCKETS_FOR_ONE_CLIENT,
+            settings,
+            &discovery(list),
+            counter().address,
+        );
+        let mut first = limiter.client();
+        first.send(&quote("roomy", 60_000));
+        wait_until("the request is sent", || server.count() == 1);
+        let mut queued = limiter.client();
+        queued.send(&quote("roomy", 60_000));
+        limiter.terminate();
+        let terminated = Instant::now();
+        first.answer().expect("an answer");
+        gate.open();
+        first.close();
+        let answer = queued.answer();
+        assert!(answer.is_some(), "round {round}: closed without an answer");
+        assert_clean_exit(&mut limiter, terminated, SHORT_DEADLINE_S);
+    });
+}
