Bound by the deduplication window when a keyed retry arrives

What callers would see: a policy is sent again within the window in which nodes remember its key, into a room that is cut off just then. The retry lies in the limiter's send buffer until its response is due, up to the whole deadline; if the room comes back after the window and before that, the policy is executed twice.

The write deadline bounds when the kernel accepts a retry; nothing bounded when the server has it.

Fix: a retry with a window sets TCP_USER_TIMEOUT (socket2, feature "all"), so that the kernel itself discards what the server has not acknowledged in time, also while the limiter is stopped. Other requests set nothing and cost nothing.

Test: a_retry_that_has_not_arrived_within_its_deduplication_window_is_not_sent_later

--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -15,22 +15,29 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
+/// The kernel may notice by this much too late that a timeout for unacknowledged data has passed: it checks when it sends
+/// the data again, for the first time after 0.2 s.
+const KERNEL_TIMEOUT_DELAY: Duration = Duration::from_millis(300);
+
 /// The state of a running attempt, shared between its task and the host, which may abort it.
 pub struct Attempt {
     address: Option<SocketAddr>,
     inventory_version: Option<u64>,
     socket: RefCell<Option<Rc<Socket>>>,
     is_reported: Cell<bool>,
+    /// Whether nothing of the request can reach the server after the write deadline.
+    arrives_in_time: Cell<bool>,
 }
 
 impl Attempt {
     /// Creates an attempt at the server with this address, which is `None` if the server accepts no new requests.
     /// `inventory_version` is the version of the inventory file that the server was chosen from.
     pub fn new(address: Option<SocketAddr>, inventory_version: Option<u64>) -> Self {
-        let (socket, is_reported) = (RefCell::default(), Cell::new(false));
-        Attempt { address, inventory_version, socket, is_reported }
+        let (is_reported, arrives_in_time) = (Cell::new(false), Cell::new(false));
+        Attempt { address, inventory_version, socket: RefCell::default(), is_reported, arrives_in_time }
     }
 
     /// Closes the attempt's connection.
@@ -60,12 +67,20 @@
 /// The deadlines of an attempt.
 #[derive(Clone, Copy)]
 pub struct AttemptDeadlines {
-    /// When the request has to be written completely.
+    /// When the request has to have reached the server completely. It is earlier than the response deadline only if it is
+    /// given by the deduplication window.
     pub write_deadline: Instant,
     /// When the response has to be complete.
     pub response_deadline: Instant,
 }
 
+impl AttemptDeadlines {
+    /// Whether the request must not reach the server after the write deadline.
+    fn has_window(&self) -> bool {
+        self.write_deadline < self.response_deadline
+    }
+}
+
 /// A connection that may be reused, with the address of its server.
 type Reusable = Option<(SocketAddr, HttpConnection)>;
 
@@ -100,18 +115,18 @@
         endpoint: &EndpointId,
         forward: &ForwardedRequest,
         attempt: &Attempt,
-        AttemptDeadlines { write_deadline, response_deadline }: AttemptDeadlines,
+        deadlines: AttemptDeadlines,
     ) -> (AttemptResult, Reusable) {
-        let mut sending = pin!(self.send(endpoint, forward, attempt, response_deadline));
-        let mut result = timeout_at(write_deadline, sending.as_mut()).await;
-        if result.is_err() && attempt.is_sent() {
-            result = timeout_at(response_deadline, sending).await;
+        let mut sending = pin!(self.send(endpoint, forward, attempt, deadlines));
+        let mut result = timeout_at(deadlines.write_deadline, sending.as_mut()).await;
+        if result.is_err() && attempt.is_sent() && attempt.arrives_in_time.get() {
+            result = timeout_at(deadlines.response_deadline, sending).await;
         }
         match result {
             Ok(ended) => ended,
             // A request that was not written completely never ran. If only the write deadline has passed, which is
             // given by the deduplication window, the server is not at fault.
-            Err(_) if !attempt.is_sent() && write_deadline < response_deadline => failed(Outcome::NotSent),
+            Err(_) if !attempt.is_sent() && deadlines.has_window() => failed(Outcome::NotSent),
             Err(_) if !attempt.is_sent() => failed(Outcome::ConnectFailed),
             Err(_) => failed(Outcome::Timeout),
         }
@@ -124,7 +139,7 @@
         endpoint: &EndpointId,
         forward: &ForwardedRequest,
         attempt: &Attempt,
-        response_deadline: Instant,
+        deadlines: AttemptDeadlines,
     ) -> (AttemptResult, Reusable) {
         loop {
             let Some(address) = attempt.address.filter(|at| self.address(endpoint) == Some(*at)) else {
@@ -145,8 +160,13 @@
                 return failed(Outcome::ConnectFailed);
             }
             *attempt.socket.borrow_mut() = Some(connection.socket().clone());
+            attempt.arrives_in_time.set(discard_in_time(connection.socket(), deadlines));
+            let response_deadline = deadlines.response_deadline;
             let request = upstream_request(address, forward, attempt.inventory_version, response_deadline);
             let result = connection.exchange(request).await;
+            if deadlines.has_window() {
+                let _ = connection.socket().set_unacknowledged_timeout(None);
+            }
             let unsent = connection.socket().write_progress() == WriteProgress::None;
             return match result {
                 Ok(response) => (answer::interpret(response, self.max_units), Some((address, connection))),
@@ -163,6 +183,17 @@
     }
 }
 
+/// Ensures that nothing of a request reaches the server after its write deadline, although the kernel has accepted it.
+/// Returns `false` if only closing the connection does so, since the kernel would notice the deadline too late.
+fn discard_in_time(socket: &Socket, deadlines: AttemptDeadlines) -> bool {
+    if !deadlines.has_window() {
+        return true;
+    }
+    let time_left = deadlines.write_deadline.saturating_duration_since(Instant::now());
+    let timeout = time_left.saturating_sub(KERNEL_TIMEOUT_DELAY);
+    timeout.as_millis() > 0 && socket.set_unacknowledged_timeout(Some(timeout)).is_ok()
+}
+
 /// Builds the HTTP request that is sent to a server.
 fn upstream_request(
     address: SocketAddr,
--- a/crates/daemon/src/upstream/socket.rs
+++ b/crates/daemon/src/upstream/socket.rs
@@ -104,6 +104,15 @@
         }
     }
 
+    /// Makes the kernel end the connection, and discard what it has not sent, once the peer has not acknowledged data for
+    /// `timeout`; by default it tries on for minutes.
+    ///
+    /// # Errors
+    /// The socket was aborted, or the kernel does not support the timeout.
+    pub(super) fn set_unacknowledged_timeout(&self, timeout: Option<Duration>) -> io::Result<()> {
+        SockRef::from(&*self.stream()?).set_tcp_user_timeout(timeout)
+    }
+
     /// Closes the connection at once, even before its owner is dropped: a server must not receive the next attempt of a
     /// request while the connection of this one still looks open.
     pub fn abort(&self) {
--- a/crates/daemon/tests/unsent_requests.rs
+++ b/crates/daemon/tests/unsent_requests.rs
@@ -6,6 +6,8 @@
 use serde_json::{json, Value};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
 
 /// Receive buffer of an [`UnreachableServer`], in bytes.
 const RECEIVE_BUFFER: usize = 8 * 1024;
@@ -22,6 +24,8 @@
 const REMOTE_COLUMN: usize = 2;
 const QUEUES_COLUMN: usize = 4;
 const INODE_COLUMN: usize = 9;
+/// Rounds within which a busy machine writes a retry in time.
+const ROUNDS: usize = 20;
 /// The inode of a socket that no process holds any more.
 const NO_INODE: &str = "0";
 
@@ -185,6 +189,43 @@
     });
 }
 
+/// Makes the first attempt of a keyed request fail so that it may have run, and the retry wait in the limiter's send buffer
+/// until the deduplication window has passed. Returns how often the second server then receives the request whole; `None`
+/// if the machine was too slow to write the retry within the window.
+fn late_retries(window_s: f64) -> Option<usize> {
+    let mut settings = one_attempt(LONG_DEADLINE_S);
+    settings["limits"]["max-attempts"] = json!(2);
+    settings["classes"][1]["window-s"] = json!(window_s);
+    let (gate, first) = gated_server(|_| Reply::RawThenClose(String::new()));
+    let second = UnreachableServer::new();
+    let discovery = discovery(vec![instance("s-0", first.address, "in_service")]);
+    let limiter = Limiter::start(settings, &discovery, counter().address);
+    let mut client = limiter.client();
+    client.send(&post("bind", &"x".repeat(BODY_BYTES)));
+    wait_until("the request is sent", || first.count() == 1);
+    let sent_at = Instant::now();
+    discovery.push(&chunk(&update(21, false, &[instance("s-1", second.address, "in_service")])));
+    assert!(limiter.up(), "the limiter has read the list");
+    gate.open();
+    client.set_read_timeout(Duration::from_millis(1));
+    wait_until("the retry is written", || unsent_bytes(second.address) > 0 || client.has_input_or_eof());
+    if client.has_input_or_eof() {
+        return None;
+    }
+    thread::sleep(Duration::from_secs_f64(window_s).saturating_sub(sent_at.elapsed()));
+    Some(second.whole_requests())
+}
+
+/// Guards against a keyed retry that is executed after servers have forgotten its key: what has not reached the second
+/// server within the window must never reach it. The end of the short window is too near for the kernel's timeout.
+#[test]
+fn a_retry_that_has_not_arrived_within_its_deduplication_window_is_not_sent_later() {
+    in_parallel([0.35, 1.5], |window_s| {
+        let late = (0..ROUNDS).find_map(|_| late_retries(window_s)).expect("a retry within the window");
+        assert_eq!(late, 0, "{window_s} s: the retry came after its window");
+    });
+}
+
 /// The log tells how many connections were closed with a request on them unanswered, and how old the request was.
 #[test]
 fn a_connection_that_is_closed_with_a_request_unanswered_is_logged() {
