--- a/crates/daemon/src/host/attempts.rs
+++ b/crates/daemon/src/host/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::Host;
 use crate::events::{Answer, AttemptResult};
-use crate::upstream::attempt::{Attempt, AttemptDeadlines};
+use crate::upstream::attempt::{Attempt, AttemptDeadlines, AttemptParameters};
 use liftrouter_decision::{EndpointId, Event, RequestId};
 use std::rc::Rc;
 use std::time::Duration;
@@ -56,13 +56,16 @@
         // the list changes before the request is sent.
         let address = self.clients.servers.address(&endpoint);
         let attempt = Rc::new(Attempt::new(address, self.inventory_version));
-        let task = tokio::task::spawn_local(self.clients.servers.clone().run_attempt(
-            self.events.clone(),
-            (id, number),
-            endpoint.clone(),
-            (forward, attempt.clone()),
-            AttemptDeadlines { write_deadline, response_deadline },
-        ));
+        let parameters = AttemptParameters {
+            id,
+            number,
+            endpoint: endpoint.clone(),
+            forward,
+            attempt: attempt.clone(),
+            deadlines: AttemptDeadlines { write_deadline, response_deadline },
+        };
+        let running = self.clients.servers.clone().run_attempt(self.events.clone(), parameters);
+        let task = tokio::task::spawn_local(running);
         open.running = Some(RunningAttempt { number, endpoint, started_at, attempt, task });
     }
 
--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -81,6 +81,22 @@
     }
 }
 
+/// An attempt to run: what is sent to which server, and until when.
+pub struct AttemptParameters {
+    /// The request's id.
+    pub id: RequestId,
+    /// The attempt's number within its request, from 0.
+    pub number: u32,
+    /// The server that the attempt is made at.
+    pub endpoint: EndpointId,
+    /// The request to forward.
+    pub forward: Rc<ForwardedRequest>,
+    /// The state that is shared with the host.
+    pub attempt: Rc<Attempt>,
+    /// The deadlines.
+    pub deadlines: AttemptDeadlines,
+}
+
 /// A connection that may be reused, with the address of its server.
 type Reusable = Option<(SocketAddr, HttpConnection)>;
 
@@ -91,33 +107,22 @@
 
 impl Servers {
     /// Runs an attempt, reports its result, and returns a reusable connection to the pool.
-    pub async fn run_attempt(
-        self: Rc<Self>,
-        events: Rc<EventQueue>,
-        (id, number): (RequestId, u32),
-        endpoint: EndpointId,
-        (forward, attempt): (Rc<ForwardedRequest>, Rc<Attempt>),
-        deadlines: AttemptDeadlines,
-    ) {
-        let (result, reusable) = self.send_within(&endpoint, &forward, &attempt, deadlines).await;
+    pub async fn run_attempt(self: Rc<Self>, events: Rc<EventQueue>, parameters: AttemptParameters) {
+        let AttemptParameters { id, number, endpoint, attempt, .. } = &parameters;
+        let (result, reusable) = self.send_within(&parameters).await;
         // Closes the socket of a failed attempt before its result is reported, since the next attempt may start then.
         attempt.release();
         attempt.is_reported.set(true);
-        events.push(HostEvent::AttemptEnded { id, attempt: number, result });
+        events.push(HostEvent::AttemptEnded { id: *id, attempt: *number, result });
         if let Some((address, connection)) = reusable {
-            self.return_connection(&endpoint, address, connection).await;
+            self.return_connection(endpoint, address, connection).await;
         }
     }
 
     /// Sends a request and waits for its response, within the attempt's deadlines.
-    async fn send_within(
-        &self,
-        endpoint: &EndpointId,
-        forward: &ForwardedRequest,
-        attempt: &Attempt,
-        deadlines: AttemptDeadlines,
-    ) -> (AttemptResult, Reusable) {
-        let mut sending = pin!(self.send(endpoint, forward, attempt, deadlines));
+    async fn send_within(&self, parameters: &AttemptParameters) -> (AttemptResult, Reusable) {
+        let AttemptParameters { attempt, deadlines, .. } = parameters;
+        let mut sending = pin!(self.send(parameters));
         let mut result = timeout_at(deadlines.write_deadline, sending.as_mut()).await;
         if result.is_err() && attempt.is_sent() && attempt.arrives_in_time.get() {
             result = timeout_at(deadlines.response_deadline, sending).await;
@@ -134,13 +139,8 @@
 
     /// Sends a request over an idle or new connection and waits for its response. Sends it again only if a reused
     /// connection broke before any byte was written.
-    async fn send(
-        &self,
-        endpoint: &EndpointId,
-        forward: &ForwardedRequest,
-        attempt: &Attempt,
-        deadlines: AttemptDeadlines,
-    ) -> (AttemptResult, Reusable) {
+    async fn send(&self, parameters: &AttemptParameters) -> (AttemptResult, Reusable) {
+        let AttemptParameters { endpoint, forward, attempt, deadlines, .. } = parameters;
         loop {
             let Some(address) = attempt.address.filter(|at| self.address(endpoint) == Some(*at)) else {
                 return failed(Outcome::ConnectFailed);
@@ -160,7 +160,7 @@
                 return failed(Outcome::ConnectFailed);
             }
             *attempt.socket.borrow_mut() = Some(connection.socket().clone());
-            attempt.arrives_in_time.set(discard_in_time(connection.socket(), deadlines));
+            attempt.arrives_in_time.set(discard_in_time(connection.socket(), *deadlines));
             let response_deadline = deadlines.response_deadline;
             let request = upstream_request(address, forward, attempt.inventory_version, response_deadline);
             let result = connection.exchange(request).await;
