--- a/crates/daemon/src/counter/client.rs
+++ b/crates/daemon/src/counter/client.rs
@@ -1,7 +1,7 @@
 //! The client of one counter: adds to a count and returns its total, over a small pool of connections.
 
 use crate::count_guard::CountGuard;
-use crate::log;
+use crate::log::{log, Occurrences};
 use crate::upstream::connection::{ExchangeError, HttpConnection};
 use crate::upstream::connection_counts::ConnectionCounts;
 use bytes::Bytes;
@@ -44,7 +44,7 @@
     failed_connects: Cell<u32>,
     /// Time before which calls fail without a connection attempt.
     backoff_until: Cell<Option<Instant>>,
-    malformed_answers: Cell<u64>,
+    malformed_answers: Occurrences,
 }
 
 /// A slot for one call, released when it is dropped.
@@ -83,7 +83,7 @@
             calls_in_flight: Rc::default(),
             failed_connects: Cell::new(0),
             backoff_until: Cell::new(None),
-            malformed_answers: Cell::new(0),
+            malformed_answers: Occurrences::default(),
         }
     }
 
@@ -224,12 +224,10 @@
         std::iter::from_fn(take_rested).find(HttpConnection::is_usable)
     }
 
-    /// Logs malformed answers number 1, 2, 4, 8 and so on, so that a counter that stays broken does not flood the log.
+    /// Logs some of the malformed answers.
     fn log_malformed(&self, text: std::fmt::Arguments) {
-        let count = self.malformed_answers.get() + 1;
-        self.malformed_answers.set(count);
-        if count.is_power_of_two() {
-            log("counter", format_args!("{text} (error {count})"));
+        if let Some(number) = self.malformed_answers.count() {
+            log("counter", format_args!("{text} (error {number})"));
         }
     }
 
--- a/crates/daemon/src/counter/pool.rs
+++ b/crates/daemon/src/counter/pool.rs
@@ -3,7 +3,7 @@
 
 use super::client::{CounterClient, CounterTotal};
 use crate::events::{EventQueue, HostEvent};
-use crate::log;
+use crate::log::{log, Occurrences};
 use liftrouter_counter::{ActiveCounter, Pacer};
 use liftrouter_decision::Outcome;
 use std::cell::{Cell, RefCell};
@@ -30,7 +30,7 @@
     changes: Cell<ChangeCounts>,
     changed: Notify,
     /// Number of answers from a counter that was no longer active.
-    late_responses: Cell<u64>,
+    late_responses: Occurrences,
 }
 
 impl CounterPool {
@@ -43,7 +43,7 @@
             started_at: Instant::now(),
             changes: Cell::default(),
             changed: Notify::new(),
-            late_responses: Cell::new(0),
+            late_responses: Occurrences::default(),
         })
     }
 
@@ -142,13 +142,8 @@
         if outcome != Outcome::Ok || self.active.get().generation == active.generation {
             return outcome;
         }
-        let late_responses = self.late_responses.get() + 1;
-        self.late_responses.set(late_responses);
-        if late_responses.is_power_of_two() {
-            log(
-                "keeper",
-                format_args!("dropped a late answer from the previous counter ({late_responses} so far)"),
-            );
+        if let Some(number) = self.late_responses.count() {
+            log("keeper", format_args!("dropped a late answer from the previous counter ({number} so far)"));
         }
         Outcome::Timeout
     }
--- a/crates/daemon/src/discovery/session.rs
+++ b/crates/daemon/src/discovery/session.rs
@@ -47,7 +47,7 @@
     needs_complete_list: bool,
     /// Consecutive failed calls.
     failures: u32,
-    /// Number of open connections.
+    /// The counts of the session's connections.
     connections: Rc<ConnectionCounts>,
 }
 
--- a/crates/daemon/src/discovery/watch.rs
+++ b/crates/daemon/src/discovery/watch.rs
@@ -118,7 +118,7 @@
     pub max_message_bytes: usize,
     /// The time limit for the first heartbeat after the response head.
     pub heartbeat_timeout: Duration,
-    /// The session's connections.
+    /// The counts of the session's connections.
     pub connections: Rc<ConnectionCounts>,
     /// Bytes received in response bodies.
     pub received_bytes: Rc<Cell<u64>>,
--- a/crates/daemon/src/listeners/admission.rs
+++ b/crates/daemon/src/listeners/admission.rs
@@ -110,18 +110,19 @@
         };
         let result = self.shutdown_deadline.limit(self.authorize(authorizer, fallback, authorization)).await;
         let changes = match result {
+            Some(AuthorizationResult::Allowed(changes)) => changes,
             Some(AuthorizationResult::Answered(answer)) => return (answer, HeaderChanges::default()),
-            Some(AuthorizationResult::Allowed(changes)) if !self.shutdown_deadline.has_passed() => changes,
-            Some(AuthorizationResult::Allowed(_)) | None => return shutting_down(),
+            None => return shutting_down(),
+        };
+        // The shutdown may have begun while the authorizer was asked. After its deadline nothing may be submitted to the
+        // host, which has failed all unanswered requests.
+        let Some(deadline) = self.shutdown_deadline.cap(authorization.deadline) else {
+            return shutting_down();
         };
         if let RequestKind::Forward(forward) = &mut request.kind {
             // `get_mut` succeeds, since the request is not shared before it is submitted.
             if let Some(forward) = Rc::get_mut(forward) {
                 changes.apply(&mut forward.headers, &RESERVED);
-                // The shutdown may have begun while the authorizer was asked.
-                let Some(deadline) = self.shutdown_deadline.cap(forward.deadline) else {
-                    return shutting_down();
-                };
                 forward.deadline = deadline;
             }
         }
--- a/crates/daemon/src/listeners/shutdown_deadline.rs
+++ b/crates/daemon/src/listeners/shutdown_deadline.rs
@@ -30,12 +30,6 @@
         }
     }
 
-    /// Whether the shutdown deadline has passed: from then on no request may be submitted to the host, which has failed
-    /// all unanswered ones.
-    pub fn has_passed(&self) -> bool {
-        self.at.get().is_some_and(|at| at <= Instant::now())
-    }
-
     /// Waits for `future`, until the shutdown deadline at most. Returns `None`, and drops the future, if the deadline
     /// passes first.
     pub async fn limit<F: Future>(&self, future: F) -> Option<F::Output> {
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -5,6 +5,7 @@
 //! with a field and has neither time, level nor field names.
 
 use clap::ValueEnum;
+use std::cell::Cell;
 use std::fmt::{self, Display};
 use std::io::stderr;
 use tracing::field::{Field, Visit};
@@ -41,6 +42,20 @@
     tracing::info!(part, "{text}");
 }
 
+/// Counts an event, and chooses occurrences number 1, 2, 4, 8 and so on for the log, so that a frequent event does not
+/// flood it.
+#[derive(Default)]
+pub struct Occurrences(Cell<u64>);
+
+impl Occurrences {
+    /// Counts one more occurrence, and returns its number if it is to be logged.
+    pub fn count(&self) -> Option<u64> {
+        let number = self.0.get() + 1;
+        self.0.set(number);
+        number.is_power_of_two().then_some(number)
+    }
+}
+
 /// Formats an event as `part: text`.
 struct TextFormat;
 
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -6,12 +6,14 @@
 
 use super::connection_counts::ConnectionCounts;
 use super::socket::{Socket, SocketIo, WriteProgress};
+use crate::count_guard::CountGuard;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
@@ -77,29 +79,14 @@
     }
 }
 
-/// Counts a connection as open until it is dropped.
-struct OpenConnection(Rc<ConnectionCounts>);
-
-impl OpenConnection {
-    fn new(counts: &Rc<ConnectionCounts>) -> Self {
-        counts.opening();
-        OpenConnection(counts.clone())
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.closed();
-    }
-}
-
 /// An HTTP/1.1 connection that carries one request at a time.
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: Driver,
     socket: Rc<Socket>,
     address: SocketAddr,
-    open: OpenConnection,
+    counts: Rc<ConnectionCounts>,
+    _counted: CountGuard<Rc<Cell<usize>>>,
     /// When the request that is unanswered was begun; `None` if there is none.
     unanswered_since: Option<Instant>,
     /// Whether the server has read all that was written: a server may answer any status but 200 before it has.
@@ -114,7 +101,7 @@
     /// # Errors
     /// The connect or the handshake failed.
     pub async fn connect(address: SocketAddr, counts: &Rc<ConnectionCounts>) -> io::Result<HttpConnection> {
-        let open = OpenConnection::new(counts);
+        let counted = counts.open_connection();
         let socket = Socket::new(TcpStream::connect(address).await?);
         // Set from the start, so that it holds as well when the process ends or is killed.
         socket.reset_on_close(true);
@@ -129,7 +116,8 @@
             driver,
             socket,
             address,
-            open,
+            counts: counts.clone(),
+            _counted: counted,
             unanswered_since: None,
             has_read_all: true,
             last_used,
@@ -279,7 +267,7 @@
     fn drop(&mut self) {
         let written = self.socket.write_progress();
         if let Some(since) = self.unanswered_since.filter(|_| written != WriteProgress::None) {
-            self.open.0.closed_unanswered(self.address, written, since.elapsed());
+            self.counts.closed_unanswered(self.address, written, since.elapsed());
         }
         if self.has_read_all {
             self.socket.reset_on_close(false);
