--- a/crates/daemon/tests/attempts.rs
+++ b/crates/daemon/tests/attempts.rs
@@ -12,11 +12,7 @@
 
 /// Settings whose deadlines do not expire during a test.
 fn long_deadlines() -> Value {
-    let mut settings = settings();
-    for class in settings["classes"].as_array_mut().expect("classes") {
-        class["deadline-s"] = json!(20.0);
-    }
-    settings
+    settings_with_deadline(20.0)
 }
 
 fn settings_with_window(seconds: f64) -> Value {
--- a/crates/daemon/tests/client_disconnects.rs
+++ b/crates/daemon/tests/client_disconnects.rs
@@ -14,10 +14,7 @@
 
 /// Settings whose deadlines do not expire during a test, with cancellation of attempts allowed or not.
 fn long_deadlines(may_cancel: bool) -> Value {
-    let mut settings = settings();
-    for class in settings["classes"].as_array_mut().expect("classes") {
-        class["deadline-s"] = json!(20.0);
-    }
+    let mut settings = settings_with_deadline(20.0);
     settings["limits"]["cancel"] = json!(may_cancel);
     settings
 }
--- a/crates/daemon/tests/closes.rs
+++ b/crates/daemon/tests/closes.rs
@@ -2,19 +2,14 @@
 //! is closed without an answer, and the process exits before it would be killed.
 mod common;
 
+use common::shutdown::assert_clean_exit;
 use common::*;
 use serde_json::{json, Value};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// SIGKILL follows SIGTERM after this time plus the longest deadline, of which at most 3 s count.
-const KILL_DELAY: Duration = Duration::from_millis(700);
-
 fn with_deadline(seconds: f64, may_cancel: bool) -> Value {
-    let mut settings = settings();
-    for class in settings["classes"].as_array_mut().expect("classes") {
-        class["deadline-s"] = json!(seconds);
-    }
+    let mut settings = settings_with_deadline(seconds);
     settings["limits"]["cancel"] = json!(may_cancel);
     settings
 }
@@ -25,15 +20,6 @@
     Limiter::start(settings, &discovery(list), counter().address)
 }
 
-/// Waits for the limiter to exit, which has to be with code 0 and before SIGKILL; returns the time that it took.
-fn assert_clean_exit(limiter: &mut Limiter, terminated: Instant, deadline: f64) -> Duration {
-    let status = limiter.wait();
-    let (took, killed) = (terminated.elapsed(), KILL_DELAY + Duration::from_secs_f64(deadline.min(3.0)));
-    assert_eq!(status.code(), Some(0), "{}", limiter.errors());
-    assert!(took < killed, "{took:?}, killed after {killed:?}");
-    took
-}
-
 #[test]
 fn graceful_shutdown_answers_hanging_requests_whatever_their_deadline() {
     in_parallel([(0.8, true), (0.8, false), (5.0, true), (5.0, false)], |(deadline, may_cancel)| {
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -3,6 +3,7 @@
 pub mod asked;
 pub mod grpc;
 pub mod relays;
+pub mod shutdown;
 
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -260,6 +261,15 @@
             "max-retry-after-s": 2.0, "may-probe": true, "retry-after": true, "second-copies": false}})
 }
 
+/// [`settings`] with this deadline for all classes, in seconds.
+pub fn settings_with_deadline(deadline_s: f64) -> Value {
+    let mut settings = settings();
+    for class in settings["classes"].as_array_mut().expect("classes") {
+        class["deadline-s"] = json!(deadline_s);
+    }
+    settings
+}
+
 /// A bound socket that does not listen yet, and its address: connections are refused until the test calls `listen`.
 /// The socket stays bound, so that no other test gets the port.
 pub fn unused_address() -> (socket2::Socket, SocketAddr) {
@@ -279,17 +289,38 @@
     (socket, address, filled)
 }
 
-/// The number of connections to this address whose SYN has not been answered yet.
-pub fn pending_connects(address: SocketAddr) -> usize {
+/// A connection in the kernel's table.
+pub struct KernelConnection {
+    /// Whether its SYN has not been answered yet.
+    pub is_pending: bool,
+    /// Whether a process holds its socket.
+    pub is_held: bool,
+}
+
+/// The connections to this address, by the kernel's table.
+pub fn connections_to(address: SocketAddr) -> Vec<KernelConnection> {
+    const REMOTE_COLUMN: usize = 2;
+    const STATE_COLUMN: usize = 3;
+    const INODE_COLUMN: usize = 9;
     const SYN_SENT: &str = "02";
+    const NO_INODE: &str = "0";
     let SocketAddr::V4(address) = address else { panic!("{address} is not IPv4") };
     let remote = format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port());
     let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of connections");
-    let is_opened = |line: &&str| {
-        let mut columns = line.split_whitespace().skip(2);
-        columns.next() == Some(&remote) && columns.next() == Some(SYN_SENT)
-    };
-    table.lines().filter(is_opened).count()
+    // Other tests may leave tens of thousands of rows behind: only those with the address are split.
+    let rows = table.lines().filter(|line| line.contains(&remote));
+    let rows = rows.map(|line| line.split_whitespace().collect::<Vec<_>>());
+    rows.filter(|row| row[REMOTE_COLUMN] == remote)
+        .map(|row| KernelConnection {
+            is_pending: row[STATE_COLUMN] == SYN_SENT,
+            is_held: row[INODE_COLUMN] != NO_INODE,
+        })
+        .collect()
+}
+
+/// The number of connections to this address whose SYN has not been answered yet.
+pub fn pending_connects(address: SocketAddr) -> usize {
+    connections_to(address).iter().filter(|connection| connection.is_pending).count()
 }
 
 /// Accepts a connection, or fails after [`WAIT_TIMEOUT`].
--- a/crates/daemon/tests/shutdown_answers.rs
+++ b/crates/daemon/tests/shutdown_answers.rs
@@ -3,17 +3,14 @@
 mod common;
 
 use common::grpc::*;
+use common::shutdown::{assert_clean_exit, killed_after};
 use common::*;
 use liftrouter_authz::frame;
 use liftrouter_authz::messages::envoy::service::auth::v3::CheckResponse;
 use liftrouter_authz::messages::google::rpc::Status;
-use serde_json::{json, Value};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-/// SIGKILL follows SIGTERM after this time plus the longest deadline, of which at most 3 s count.
-const KILL_DELAY_S: f64 = 0.7;
-const MAX_DEADLINE_S: f64 = 3.0;
 /// Deadline of classes whose requests live longer than a shutdown may last, in seconds.
 const LONG_DEADLINE_S: f64 = 8.0;
 /// Deadline of classes in tests that need no longer shutdown, in seconds.
@@ -23,14 +20,6 @@
 /// A configured number of sockets of which one is left for clients.
 const SOCKETS_FOR_ONE_CLIENT: u32 = 34;
 
-fn with_deadline(seconds: f64) -> Value {
-    let mut settings = settings();
-    for class in settings["classes"].as_array_mut().expect("classes") {
-        class["deadline-s"] = json!(seconds);
-    }
-    settings
-}
-
 /// An operator's file with a gRPC listener, and an authorizer whose answer is waited for longer than a shutdown lasts.
 fn operator_text(authorizer: &FakeAuthorizer) -> String {
     format!(
@@ -40,15 +29,6 @@
     )
 }
 
-/// Waits for the limiter to exit: with code 0, and before SIGKILL.
-fn assert_clean_exit(limiter: &mut Limiter, terminated: Instant, deadline_s: f64) {
-    let status = limiter.wait();
-    let killed = Duration::from_secs_f64(KILL_DELAY_S + deadline_s.min(MAX_DEADLINE_S));
-    let took = terminated.elapsed();
-    assert_eq!(status.code(), Some(0), "{}", limiter.errors());
-    assert!(took < killed, "{took:?}, killed after {killed:?}");
-}
-
 /// Whether the response on a stream is complete before its connection ends.
 fn is_answered(raw: &mut RawConnection, stream: u32) -> bool {
     let is_end = |f: &RawFrame| f.kind == HEADERS && f.flags & END_STREAM != 0 && f.stream == stream;
@@ -62,7 +42,7 @@
     let authorizer = FakeAuthorizer::new(|_| Vec::new());
     let server = Fake::new(|_| ok("served"));
     let text = operator_text(&authorizer);
-    let mut limiter = Limiter::with_operator_text(&text, with_deadline(LONG_DEADLINE_S), &[&server]);
+    let mut limiter = Limiter::with_operator_text(&text, settings_with_deadline(LONG_DEADLINE_S), &[&server]);
     let mut clients = [limiter.client(), limiter.client(), limiter.client()];
     for (client, request) in
         clients.iter_mut().zip([quote("roomy", 8_000), post("bind", "x"), post("bind", "y")])
@@ -99,7 +79,7 @@
     });
     let server = Fake::new(|_| ok("served"));
     let text = operator_text(&authorizer);
-    let mut limiter = Limiter::with_operator_text(&text, with_deadline(LONG_DEADLINE_S), &[&server]);
+    let mut limiter = Limiter::with_operator_text(&text, settings_with_deadline(LONG_DEADLINE_S), &[&server]);
     let mut client = limiter.client();
     client.send(&post("bind", "x"));
     wait_until("the authorizer is asked", || authorizer.count() == 1);
@@ -111,7 +91,7 @@
     let seen = server.seen();
     let time_left = seen[0].header("x-time-left").and_then(|text| text.strip_suffix('u')).expect("a time");
     let time_left_s = time_left.parse::<f64>().expect("microseconds") / 1e6;
-    assert!(time_left_s < KILL_DELAY_S + MAX_DEADLINE_S, "{time_left_s} s");
+    assert!(time_left_s < killed_after(LONG_DEADLINE_S).as_secs_f64(), "{time_left_s} s");
     assert_clean_exit(&mut limiter, terminated, LONG_DEADLINE_S);
 }
 
@@ -121,7 +101,7 @@
     let server = Fake::new(|_| ok("served"));
     let mut limiter = Limiter::with_operator_text(
         "[grpc]\nlisten = '127.0.0.1:0'\n",
-        with_deadline(SHORT_DEADLINE_S),
+        settings_with_deadline(SHORT_DEADLINE_S),
         &[&server],
     );
     let mut raw = RawConnection::new(limiter.grpc.expect("a gRPC listener"), &[]);
@@ -150,7 +130,7 @@
     in_parallel(0..8, |round| {
         let (gate, server) = gated_server(|_| ok("served"));
         let list = vec![instance("s-0", server.address, "in_service")];
-        let settings = with_deadline(SHORT_DEADLINE_S);
+        let settings = settings_with_deadline(SHORT_DEADLINE_S);
         let mut limiter = Limiter::with_descriptor_limit(
             SOCKETS_FOR_ONE_CLIENT,
             settings,
--- a/crates/daemon/tests/unsent_requests.rs
+++ b/crates/daemon/tests/unsent_requests.rs
@@ -20,13 +20,8 @@
 const LONG_DEADLINE_S: f64 = 60.0;
 /// The time after which servers close idle connections, in seconds. The limiter closes them earlier.
 const IDLE_TIMEOUT_S: f64 = 0.8;
-/// Columns of a row of `/proc/net/tcp`, from 0.
-const REMOTE_COLUMN: usize = 2;
-const INODE_COLUMN: usize = 9;
 /// Rounds within which a busy machine writes a retry in time.
 const ROUNDS: usize = 20;
-/// The inode of a socket that no process holds any more.
-const NO_INODE: &str = "0";
 
 /// A server that reads nothing, as if it was cut off, until the test lets it.
 struct UnreachableServer {
@@ -78,25 +73,10 @@
     }
 }
 
-/// Whether a process holds a connection to this address, by the kernel's table of connections.
-fn is_connected(address: SocketAddr) -> bool {
-    let SocketAddr::V4(address) = address else { panic!("{address} is not IPv4") };
-    let remote = format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port());
-    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of connections");
-    // Other tests may leave tens of thousands of rows behind: only those with the address are split.
-    table.lines().filter(|line| line.contains(&remote)).any(|line| {
-        let row: Vec<&str> = line.split_whitespace().collect();
-        row[REMOTE_COLUMN] == remote && row[INODE_COLUMN] != NO_INODE
-    })
-}
-
 /// Settings with this deadline, under which a request has one attempt, only requests open connections to servers, and
 /// idle connections end soon.
 fn one_attempt(deadline_s: f64) -> Value {
-    let mut settings = settings();
-    for class in settings["classes"].as_array_mut().expect("classes") {
-        class["deadline-s"] = json!(deadline_s);
-    }
+    let mut settings = settings_with_deadline(deadline_s);
     settings["limits"]["max-attempts"] = json!(1);
     settings["limits"]["may-probe"] = json!(false);
     settings["limits"]["idle-close-s"] = json!(IDLE_TIMEOUT_S);
@@ -126,7 +106,8 @@
 
     /// The server can be reached again once the limiter has closed its connection to it.
     fn assert_never_received(self, end: &str) {
-        wait_until("the limiter has closed the connection", || !is_connected(self.server.address));
+        let is_closed = || !connections_to(self.server.address).iter().any(|connection| connection.is_held);
+        wait_until("the limiter has closed the connection", is_closed);
         assert_eq!(self.server.whole_requests(), 0, "{end}: the request came after it was given up");
     }
 }
--- a/crates/rehearsal/tests/nodes.rs
+++ b/crates/rehearsal/tests/nodes.rs
@@ -146,11 +146,7 @@
     for (n, stream) in streams.iter_mut().enumerate() {
         write(stream, Arrival::id(n, 0), &format!("{n}")).await;
         // One after the other, so that the third is the one too many.
-        let limit = Instant::now() + LONG;
-        while w.arrived() <= n {
-            assert!(Instant::now() < limit, "it does not arrive");
-            sleep(Duration::from_millis(1)).await;
-        }
+        w.wait_for_arrivals(n + 1).await;
     }
     let third = read(&mut streams[2]).await.expect("an answer");
     assert_eq!((third.status, third.headers.get("x-unprocessed")), (503, Some("1")));
@@ -190,12 +186,7 @@
     drop(first);
     write(&mut third, id, "k").await;
     read(&mut third).await.expect("an answer");
-    let open: Vec<_> = w
-        .history()
-        .into_iter()
-        .filter_map(|e| if let Event::Arrived { open, .. } = e.event { Some(open.len()) } else { None })
-        .collect();
-    assert_eq!(open, [0, 1, 0]);
+    assert_eq!(w.others_open(), [0, 1, 0]);
 }
 
 /// Guards against a limiter that is accused of two attempts at once for one that a link held until after its connection had
@@ -224,11 +215,7 @@
         }
         w.link.undo(1);
         w.wait_for_arrivals(2).await;
-        let mut open: Vec<_> = w
-            .history()
-            .into_iter()
-            .filter_map(|e| if let Event::Arrived { open, .. } = e.event { Some(open.len()) } else { None })
-            .collect();
+        let mut open = w.others_open();
         open.sort_unstable();
         assert_eq!(open, expected, "ends before the other comes: {ends_before}");
     }
@@ -241,9 +228,7 @@
     w.fleet.nodes[0].slow_down(1, 10.0);
     write(&mut stream, Arrival::id(0, 0), "k").await;
     let limit = Instant::now() + LONG;
-    while w.arrived() == 0 {
-        sleep(Duration::from_millis(1)).await;
-    }
+    w.wait_for_arrivals(1).await;
     w.link.begin(1, Trouble::Held);
     // Its work is done, and the node has an answer; the link keeps it.
     sleep(Duration::from_millis(700)).await;
@@ -265,6 +250,13 @@
         self.history_so_far().iter().filter(|e| matches!(e.event, Event::Arrived { .. })).count()
     }
 
+    /// How many others each attempt found open when it came, in the order of the history.
+    fn others_open(&self) -> Vec<usize> {
+        let others =
+            |e: Entry| if let Event::Arrived { open, .. } = e.event { Some(open.len()) } else { None };
+        self.history().into_iter().filter_map(others).collect()
+    }
+
     /// Waits until so many attempts have come.
     async fn wait_for_arrivals(&self, count: usize) {
         let limit = Instant::now() + LONG;
