Review: case 7 is another, denied requests are sent on after a short hold-up

Change: case 7 now has an authoriser that denies within 60 of its 100 ms, and limiters that are held up for 0.12 s while questions are open.

--- a/review/standins-2/src/bin/case-7.rs
+++ b/review/standins-2/src/bin/case-7.rs
@@ -1,134 +1,173 @@
-//! Case 7: a tool stops for 0.3 s before the last character of an inventory that states its count.
+//! Case 7: a limiter is held up for under 0.15 s while an authoriser denies requests in time; they are sent on.
 
+use review_standins_2::authorizer::{self, Ruling};
 use review_standins_2::case::{run, settings, Case, Finding};
 use review_standins_2::client::{Client, Request};
 use review_standins_2::counter;
-use review_standins_2::inventory::{self, Row};
-use review_standins_2::limiter::{free_address, Limiter, Setup};
+use review_standins_2::discovery::{Discovery, Entry};
+use review_standins_2::limiter::{free_address, Limiter, Setup, SIGCONT, SIGSTOP};
 use review_standins_2::node::{Node, Reaction};
-use review_standins_2::record::Record;
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const CLASSES: &str = r#"[{"name":"price-quote","aim-s":0.75,"deadline-s":2.0,"worth":2.0,"late-share":0.0,"effect":"read_like","group":"all","window-s":10.0,"streaming":false},
 {"name":"bind-policy","aim-s":1.2,"deadline-s":5.0,"worth":5.0,"late-share":0.2,"effect":"idempotency_key","group":"all","window-s":10.0,"streaming":false}]"#;
-const CLIENTS: usize = 12;
-/// Of each client.
-const REQUESTS: usize = 25;
-/// How long the tool stops: three times the `quiet_ms` of the operators' page.
-const PAUSE: Duration = Duration::from_millis(300);
-/// A version is used 550 ms after it stood whole; requests begin well after that.
-const AFTER_WHOLE: Duration = Duration::from_millis(1_500);
+/// An authoriser has 100 ms for an answer, by default; it needs 60 ms, and a ruling counts if it was written within 80 ms.
+const ANSWER_AFTER: Duration = Duration::from_millis(60);
+const IN_TIME: Duration = Duration::from_millis(80);
+/// A limiter may be held up for up to 0.15 s.
+const HELD_UP: Duration = Duration::from_millis(120);
+const MOST_HELD_UP: Duration = Duration::from_millis(150);
+const HOLD_UPS: usize = 16;
+/// Between two of them: the circuit breaker is closed again by then.
+const BETWEEN: Duration = Duration::from_millis(1_500);
+const CLIENTS: usize = 10;
+/// Ids of requests that the authoriser denies begin so.
+const DENIED: &str = "denied-";
 
-type Seen = Arc<Mutex<BTreeMap<&'static str, usize>>>;
+/// When requests came to a server, and the rulings of the authoriser, both by the request's id.
+#[derive(Default)]
+struct World {
+    arrivals: BTreeMap<String, Instant>,
+    rulings: BTreeMap<String, Ruling>,
+}
 
 fn main() {
     run(case)
 }
 
-/// Two free ports, of which the second is the first without its last digit.
-fn two_ports() -> Option<(TcpListener, TcpListener)> {
-    (20_000..60_000u16).step_by(37).find_map(|port| {
-        let whole = TcpListener::bind(("127.0.0.1", port)).ok()?;
-        Some((whole, TcpListener::bind(("127.0.0.1", port / 10)).ok()?))
-    })
-}
-
-/// Sends the requests of one client.
-fn ask(client: usize, listen: SocketAddr, answers: &Mutex<BTreeMap<u16, usize>>, log: &Record) {
-    let mut connection = Client::new(listen);
-    for number in 0..REQUESTS {
-        let keyed = number % 3 == 0;
-        let request = Request {
-            class: if keyed { "bind-policy" } else { "price-quote" },
-            customer: 1 + client as u64,
-            plan: "network",
-            id: format!("{client:08x}{number:08x}"),
-            key: keyed.then(|| format!("key-{client}-{number}")),
-            time_left_ms: if keyed { 4_000 } else { 2_000 },
-            spread: 2,
-        };
-        let status = connection.ask(&request).map_or(0, |answer| answer.status());
-        log.line(format!("client: request {} is answered {status}", request.id));
-        *answers.lock().expect("the answers").entry(status).or_default() += 1;
-        thread::sleep(Duration::from_millis(25));
-    }
+/// The correlation id in a question: the text behind the marks of this script's ids.
+fn id_of(question: &[u8]) -> Option<String> {
+    let text = String::from_utf8_lossy(question);
+    let start = text.find(DENIED).or_else(|| text.find("plain-"))?;
+    let id: String = text[start..].chars().take_while(|c| c.is_ascii_alphanumeric() || *c == '-').collect();
+    Some(id)
 }
 
 fn case(case: &Case) -> Result<Finding, String> {
     let fail = |error: std::io::Error| error.to_string();
     let record = &case.record;
-    let seen: Seen = Arc::default();
-    let decide = |id: &'static str, status: &'static str| {
-        let (seen, log) = (seen.clone(), record.clone());
-        move |request: &review_standins_2::http::Message| {
-            let name = request.header("x-correlation-id").unwrap_or("-");
-            log.line(format!("{id} gets request {name}: {}", request.start));
-            *seen.lock().expect("the counts").entry(id).or_default() += 1;
-            Reaction::AnswerAfter(Duration::from_millis(50), status, format!("done {name}"))
-        }
-    };
-    let mut rows = Vec::new();
+    let world: Arc<Mutex<World>> = Arc::default();
+    let mut entries = Vec::new();
     for id in ["s-1", "s-2", "s-3"] {
-        let node = Node::start(id, decide(id, "200 OK")).map_err(fail)?;
-        rows.push(Row { id: id.to_string(), address: node.address, cell: 0 });
+        let (world, log) = (world.clone(), record.clone());
+        let node = Node::start(id, move |request| {
+            let name = request.header("x-correlation-id").unwrap_or("-").to_string();
+            log.line(format!("{id} runs request {name}"));
+            world.lock().expect("the world").arrivals.entry(name.clone()).or_insert_with(Instant::now);
+            Reaction::AnswerAfter(Duration::from_millis(20), "200 OK", format!("done {name}"))
+        })
+        .map_err(fail)?;
+        let id = id.to_string();
+        entries.push(Entry { id, address: node.address, zone: "room-a", cell: 0, lifecycle: "in_service" });
     }
-    let (whole, cut) = two_ports().ok_or("no two ports are free")?;
-    let added = Node::start_on("s-4", whole, decide("s-4", "200 OK")).map_err(fail)?;
-    // A server of somebody else: no version of the inventory names it.
-    let foreign = Node::start_on("foreign", cut, decide("foreign", "404 Not Found")).map_err(fail)?;
-    record
-        .line(format!("s-4 is at {}, a server that no version names at {}", added.address, foreign.address));
-    let path = case.folder.join("nodes.csv");
-    inventory::replace(&path, &inventory::text_address_last(1, &rows)).map_err(fail)?;
+    let (rulings, log) = (world.clone(), record.clone());
+    let note = move |question: &[u8], ruling: Ruling| {
+        let Some(id) = id_of(question) else { return };
+        let after = ruling.answered_at.duration_since(ruling.asked_at).as_millis();
+        let word = if ruling.denied { "denied" } else { "allowed" };
+        log.line(format!("the authoriser has {word} request {id}, {after} ms after it was asked"));
+        rulings.lock().expect("the world").rulings.insert(id, ruling);
+    };
+    let denies = |question: &[u8]| id_of(question).is_some_and(|id| id.starts_with(DENIED));
+    let authorizer = authorizer::start(ANSWER_AFTER, denies, note).map_err(fail)?;
+    let discovery = Discovery::start(1, entries).map_err(fail)?;
     let counter = counter::start().map_err(fail)?;
     let mut limiters = Vec::new();
     for me in 0..2 {
         let setup = Setup {
             name: format!("n{me}"),
             listen: free_address().map_err(fail)?,
-            discovery: free_address().map_err(fail)?,
+            discovery: discovery.address,
             counter,
             settings: settings(me, 2, CLASSES),
-            operator: Some(format!("[inventory]\ncsv = \"{}\"\n", path.display())),
+            operator: Some(format!(
+                "[[authoriser]]\nname = \"risk\"\naddress = \"{authorizer}\"\n\
+                 classes = {{ bind-policy = \"refuse\", price-quote = \"pass\" }}\n"
+            )),
         };
         limiters.push(Limiter::start(&setup, &case.folder, record)?);
     }
-    thread::sleep(Duration::from_secs(1));
-    rows.push(Row { id: added.id.clone(), address: added.address, cell: 0 });
-    let text = inventory::text_address_last(2, &rows);
-    // The last digit of the port and the end of the line.
-    let (rest, pause) = if case.trouble { (2, PAUSE) } else { (0, Duration::ZERO) };
-    inventory::write_in_place(&path, &text, rest, pause).map_err(fail)?;
-    record.line(format!("version 2 of the inventory stands whole:\n{text}"));
-    thread::sleep(AFTER_WHOLE);
-    seen.lock().expect("the counts").clear();
-    let answers: Arc<Mutex<BTreeMap<u16, usize>>> = Arc::default();
+    let stop = Arc::new(AtomicBool::new(false));
+    let answers: Arc<Mutex<BTreeMap<String, u16>>> = Arc::default();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
-            let (listen, answers, log) = (limiters[client % 2].listen, answers.clone(), record.clone());
-            thread::spawn(move || ask(client, listen, &answers, &log))
+            let (listen, log) = (limiters[client % 2].listen, record.clone());
+            let (stop, answers) = (stop.clone(), answers.clone());
+            thread::spawn(move || {
+                let mut connection = Client::new(listen);
+                for number in 0.. {
+                    if stop.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let kind = if number % 2 == 0 { DENIED } else { "plain-" };
+                    let request = Request {
+                        class: "price-quote",
+                        customer: 1 + client as u64,
+                        plan: "network",
+                        id: format!("{kind}{client}-{number}"),
+                        key: None,
+                        time_left_ms: 2_000,
+                        spread: 2,
+                    };
+                    let status = connection.ask(&request).map_or(0, |answer| answer.status());
+                    log.line(format!("client: request {} is answered {status}", request.id));
+                    answers.lock().expect("the answers").insert(request.id, status);
+                    thread::sleep(Duration::from_millis(30));
+                }
+            })
         })
         .collect();
+    thread::sleep(Duration::from_secs(1));
+    for number in 0..HOLD_UPS {
+        let limiter = &limiters[number % 2];
+        if case.trouble {
+            let stopped = Instant::now();
+            limiter.signal(SIGSTOP);
+            thread::sleep(HELD_UP);
+            limiter.signal(SIGCONT);
+            let held_up = stopped.elapsed();
+            record.line(format!("{} was held up for {} ms", limiter.name, held_up.as_millis()));
+            if held_up > MOST_HELD_UP {
+                return Err(format!("a hold-up took {} ms: the machine is too busy", held_up.as_millis()));
+            }
+        }
+        thread::sleep(BETWEEN);
+    }
+    stop.store(true, Ordering::Relaxed);
     for client in clients {
         client.join().map_err(|_| "a client failed")?;
     }
-    let answers = answers.lock().expect("the answers").clone();
     for limiter in &mut limiters {
         if limiter.has_ended() {
             return Err(format!("limiter {} has ended by itself", limiter.name));
         }
         record.line(format!("log of {}:\n{}", limiter.name, limiter.log_text()));
     }
-    let seen = seen.lock().expect("the counts").clone();
-    let summary = format!("{} requests, answers {answers:?}, at servers {seen:?}", CLIENTS * REQUESTS);
+    let (world, answers) = (world.lock().expect("the world"), answers.lock().expect("the answers"));
+    let denied = world.rulings.values().filter(|ruling| ruling.denied).count();
+    let mut sent_on = Vec::new();
+    for (id, ruling) in &world.rulings {
+        let in_time = ruling.answered_at.duration_since(ruling.asked_at) <= IN_TIME;
+        if ruling.denied && in_time && world.arrivals.get(id).is_some_and(|at| *at > ruling.answered_at) {
+            sent_on.push(id);
+        }
+    }
+    let served = sent_on.iter().filter(|id| answers.get(**id) == Some(&200)).count();
+    let summary = format!(
+        "{} requests, {denied} denied by the authoriser; {} of these were run by a server after the denial had been \
+         written within {} ms, {served} of them served with 200",
+        answers.len(),
+        sent_on.len(),
+        IN_TIME.as_millis()
+    );
     record.line(&summary);
     println!("{summary}");
-    Ok(match seen.get("foreign") {
-        Some(count) => Finding::Broken(format!("{count} requests came to a server that no version names")),
+    Ok(match sent_on.first() {
+        Some(id) => Finding::Broken(format!("{} denied requests were sent on, such as {id}", sent_on.len())),
         None => Finding::Held,
     })
 }
