Review: case 10 is another, two holders of a slot while a new term is brought out

Change: case 10 restarts two of three limiters with a shorter term_ms and stops the third for 5.5 s.

--- a/review/standins-2/src/bin/case-10.rs
+++ b/review/standins-2/src/bin/case-10.rs
@@ -1,146 +1,179 @@
-//! Case 10: a new configuration moves discovery to an agent whose list comes late; a server that drains gets new work.
+//! Case 10: a new `term_ms` comes to one limiter after the other; one that still has the old one is stopped for 5.5 s and
+//! goes on to act as the holder of slots that others hold.
 
 use review_standins_2::case::{run, settings, Case, Finding};
-use review_standins_2::client::{Client, Request};
 use review_standins_2::counter;
 use review_standins_2::discovery::{Discovery, Entry};
-use review_standins_2::limiter::{free_address, Limiter, Setup, SIGHUP};
+use review_standins_2::limiter::{free_address, Limiter, Setup, SIGCONT, SIGSTOP};
 use review_standins_2::node::{Node, Reaction};
-use std::collections::BTreeMap;
-use std::fs;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::collections::BTreeSet;
+use std::net::UdpSocket;
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-const CLASSES: &str = r#"[{"name":"price-quote","aim-s":0.75,"deadline-s":2.0,"worth":2.0,"late-share":0.0,"effect":"read_like","group":"all","window-s":10.0,"streaming":false},
-{"name":"bind-policy","aim-s":1.2,"deadline-s":5.0,"worth":5.0,"late-share":0.2,"effect":"idempotency_key","group":"all","window-s":10.0,"streaming":false}]"#;
-const DRAINING: &str = "s-1";
-const CLIENTS: usize = 12;
-/// The new configuration comes so long after the drain was told.
-const MOVE_AFTER: Duration = Duration::from_millis(1_500);
-/// The new agent is told of the drain so long after the new configuration.
-const LATE: Duration = Duration::from_secs(3);
-/// Nothing new goes to a draining server after 250 ms, 50 ms longer on sockets; and some more for the stand-ins.
-const GRACE: Duration = Duration::from_millis(400);
+const CLASSES: &str = r#"[{"name":"price-quote","aim-s":0.75,"deadline-s":2.0,"worth":2.0,"late-share":0.0,"effect":"read_like","group":"all","window-s":10.0,"streaming":false}]"#;
+const LIMITERS: usize = 3;
+const NODES: usize = 12;
+/// The limiter that is stopped; it is the last to get the new term.
+const STOPPED: usize = 2;
+const OLD_TERM_MS: u32 = 8_000;
+const NEW_TERM_MS: u32 = 2_000;
+const STOPPED_FOR: Duration = Duration::from_millis(5_500);
+/// How long after it goes on its health checks are looked at.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// A health check: when, in seconds of the day, by which limiter, of which node.
+#[derive(Clone, Copy, Debug)]
+struct Check {
+    at: f64,
+    limiter: usize,
+    node: usize,
+}
+
+const SECONDS_OF_A_DAY: f64 = 86_400.0;
 
 fn main() {
     run(case)
 }
 
+fn now() -> f64 {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    unix.as_secs_f64() % SECONDS_OF_A_DAY
+}
+
+/// An address for UDP with a port that is free now.
+fn free_udp_address() -> std::io::Result<String> {
+    Ok(UdpSocket::bind("127.0.0.1:0")?.local_addr()?.to_string())
+}
+
+/// When, in seconds of the day, a limiter's log says first after `since` that the stopped one is alive again. A limiter
+/// releases the slots that are assigned to another only once it knows of that other.
+fn knows_of_return(log: &str, since: f64) -> Option<f64> {
+    let line = format!("n{STOPPED} is alive");
+    log.lines().filter(|text| text.contains(&line)).filter_map(time_of).find(|at| *at >= since)
+}
+
+/// The time in a line of a log in JSON: `"timestamp":"2026-12-05T03:12:46.123456Z"`.
+fn time_of(line: &str) -> Option<f64> {
+    let (_, rest) = line.split_once("\"timestamp\":\"")?;
+    let time = rest.get(11..rest.find('Z')?)?;
+    let mut parts = time.split(':').map(|part| part.parse::<f64>().ok());
+    let (hours, minutes, seconds) = (parts.next()??, parts.next()??, parts.next()??);
+    Some(hours * 3_600.0 + minutes * 60.0 + seconds)
+}
+
 fn case(case: &Case) -> Result<Finding, String> {
     let fail = |error: std::io::Error| error.to_string();
     let record = &case.record;
-    // When each request came to a server.
-    let arrivals: Arc<Mutex<Vec<(&'static str, Instant)>>> = Arc::default();
-    let mut entries = Vec::new();
-    for id in [DRAINING, "s-2", "s-3"] {
-        let (arrivals, log) = (arrivals.clone(), record.clone());
-        let node = Node::start(id, move |request| {
-            let name = request.header("x-correlation-id").unwrap_or("-");
-            log.line(format!("{id} runs request {name}"));
-            arrivals.lock().expect("the arrivals").push((id, Instant::now()));
-            Reaction::AnswerAfter(Duration::from_millis(50), "200 OK", format!("done {name}"))
-        })
-        .map_err(fail)?;
-        let id = id.to_string();
-        entries.push(Entry { id, address: node.address, zone: "room-a", cell: 0, lifecycle: "in_service" });
-    }
-    let old = Discovery::start(5, entries.clone()).map_err(fail)?;
-    let new = Discovery::start(5, entries).map_err(fail)?;
+    let checks: Arc<Mutex<Vec<Check>>> = Arc::default();
     let counter = counter::start().map_err(fail)?;
-    let mut limiters = Vec::new();
+    let members: Vec<String> =
+        (0..LIMITERS).map(|_| free_udp_address()).collect::<Result<_, _>>().map_err(fail)?;
+    let all = members.iter().map(|member| format!("\"{member}\"")).collect::<Vec<_>>().join(", ");
+    let operator = |me: usize, term_ms: u32| {
+        format!(
+            "[members]\nname = \"n{me}\"\nlisten = \"{}\"\njoin = [{all}]\nvoters = [{all}]\nperiod_ms = 500\n\
+             term_ms = {term_ms}\nprobe_ms = 500\n",
+            members[me]
+        )
+    };
     let mut setups = Vec::new();
-    for me in 0..2 {
-        let setup = Setup {
+    for me in 0..LIMITERS {
+        let mut entries = Vec::new();
+        for node in 0..NODES {
+            // Each limiter sees the nodes under addresses of its own, so that a node knows who checks it.
+            let (checks, log) = (checks.clone(), record.clone());
+            let server = Node::start("node", move |request| {
+                if request.target() == "/metrics/load" {
+                    checks.lock().expect("the checks").push(Check { at: now(), limiter: me, node });
+                    log.line(format!("s-{node} is checked by n{me}"));
+                }
+                Reaction::Answer("200 OK", "util=0.2".to_string())
+            })
+            .map_err(fail)?;
+            let id = format!("s-{node}");
+            entries.push(Entry {
+                id,
+                address: server.address,
+                zone: "room-a",
+                cell: 0,
+                lifecycle: "in_service",
+            });
+        }
+        setups.push(Setup {
             name: format!("n{me}"),
             listen: free_address().map_err(fail)?,
-            discovery: old.address,
+            discovery: Discovery::start(1, entries).map_err(fail)?.address,
             counter,
-            settings: settings(me, 2, CLASSES),
-            operator: None,
-        };
-        limiters.push(Limiter::start(&setup, &case.folder, record)?);
-        setups.push(setup);
+            settings: settings(me as u32, LIMITERS as u32, CLASSES),
+            operator: Some(operator(me, OLD_TERM_MS)),
+            options: " --log json",
+        });
     }
-    let stop = Arc::new(AtomicBool::new(false));
-    let answers: Arc<Mutex<BTreeMap<u16, usize>>> = Arc::default();
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|client| {
-            let (listen, log) = (limiters[client % 2].listen, record.clone());
-            let (stop, answers) = (stop.clone(), answers.clone());
-            thread::spawn(move || {
-                let mut connection = Client::new(listen);
-                for number in 0.. {
-                    if stop.load(Ordering::Relaxed) {
-                        return;
-                    }
-                    let keyed = number % 3 == 0;
-                    let request = Request {
-                        class: if keyed { "bind-policy" } else { "price-quote" },
-                        customer: 1 + client as u64,
-                        plan: "network",
-                        id: format!("{client:08x}{number:08x}"),
-                        key: keyed.then(|| format!("key-{client}-{number}")),
-                        time_left_ms: if keyed { 4_000 } else { 2_000 },
-                        spread: 2,
-                    };
-                    let status = connection.ask(&request).map_or(0, |answer| answer.status());
-                    log.line(format!("client: request {} is answered {status}", request.id));
-                    *answers.lock().expect("the answers").entry(status).or_default() += 1;
-                    thread::sleep(Duration::from_millis(50));
-                }
-            })
-        })
-        .collect();
-    thread::sleep(Duration::from_secs(2));
-    let generation = old.set_lifecycle(DRAINING, "terminating");
-    let told = Instant::now();
-    record.line(format!("the agent tells that {DRAINING} drains, generation {generation}"));
-    if !case.trouble {
-        new.set_lifecycle(DRAINING, "terminating");
+    let mut limiters = Vec::new();
+    for setup in &setups {
+        limiters.push(Limiter::start(setup, &case.folder, record)?);
     }
-    thread::sleep(MOVE_AFTER);
-    for (setup, limiter) in setups.iter_mut().zip(&limiters) {
-        setup.discovery = new.address;
-        let beside = limiter.config.with_extension("new");
-        fs::write(&beside, setup.config()).map_err(fail)?;
-        fs::rename(&beside, &limiter.config).map_err(fail)?;
-        limiter.signal(SIGHUP);
+    // Voters grant nothing for a term and a little more.
+    thread::sleep(Duration::from_secs(12));
+    for me in (0..LIMITERS).filter(|me| *me != STOPPED) {
+        setups[me].operator = Some(operator(me, NEW_TERM_MS));
+        let (restarted, record) = (limiters.remove(me), &case.record);
+        restarted.terminate(record)?;
+        record.line(format!("n{me} gets term_ms = {NEW_TERM_MS}"));
+        limiters.insert(me, Limiter::start(&setups[me], &case.folder, record)?);
+        thread::sleep(Duration::from_secs(6));
     }
-    record.line("a new configuration moves discovery to another agent: SIGHUP");
-    thread::sleep(LATE);
+    let stopped_at = now();
     if case.trouble {
-        let generation = new.set_lifecycle(DRAINING, "terminating");
-        record.line(format!("the new agent has the drain too, generation {generation}"));
+        limiters[STOPPED].signal(SIGSTOP);
+        record.line(format!("n{STOPPED} is stopped"));
     }
-    thread::sleep(Duration::from_secs(2));
-    stop.store(true, Ordering::Relaxed);
-    for client in clients {
-        client.join().map_err(|_| "a client failed")?;
+    thread::sleep(STOPPED_FOR);
+    let continued_at = now();
+    if case.trouble {
+        limiters[STOPPED].signal(SIGCONT);
+        record.line(format!("n{STOPPED} goes on"));
     }
+    thread::sleep(LOOK);
+    thread::sleep(Duration::from_secs(1));
     for limiter in &mut limiters {
         if limiter.has_ended() {
             return Err(format!("limiter {} has ended by itself", limiter.name));
         }
         record.line(format!("log of {}:\n{}", limiter.name, limiter.log_text()));
     }
-    let arrivals = arrivals.lock().expect("the arrivals");
-    let before = arrivals.iter().filter(|(id, at)| *id == DRAINING && *at < told).count();
-    let after: Vec<Duration> = arrivals
-        .iter()
-        .filter(|(id, at)| *id == DRAINING && *at > told + GRACE)
-        .map(|(_, at)| at.duration_since(told))
-        .collect();
-    let answers = answers.lock().expect("the answers");
+    let checks = checks.lock().expect("the checks").clone();
+    let mut doubly_held = BTreeSet::new();
+    for other in (0..LIMITERS).filter(|me| *me != STOPPED) {
+        let returned = knows_of_return(&limiters[other].log_text(), continued_at);
+        for node in 0..NODES {
+            let by_other = |check: &&Check| check.limiter == other && check.node == node;
+            let held =
+                checks.iter().filter(by_other).filter(|c| c.at > stopped_at + 3.0 && c.at < continued_at);
+            // The other one holds the node's slot until it knows that the stopped one is back.
+            let until = returned.unwrap_or(f64::MAX);
+            let by_stopped = checks.iter().find(|check| {
+                let soon = check.at >= continued_at && check.at < continued_at + LOOK.as_secs_f64();
+                check.limiter == STOPPED && check.node == node && soon && check.at < until
+            });
+            if let (true, Some(check)) = (held.count() >= 2, by_stopped) {
+                let after = (check.at - continued_at) * 1e3;
+                let until = returned
+                    .map_or("the look".to_string(), |at| format!("{:.1} ms", (at - continued_at) * 1e3));
+                record.line(format!(
+                    "s-{node}: checked by n{STOPPED} {after:.1} ms after it went on; n{other} checked it meanwhile, and knew of its return after {until}"
+                ));
+                doubly_held.insert(node);
+            }
+        }
+    }
     let summary = format!(
-        "answers {answers:?}; {DRAINING} got {before} requests before it drained, and {} over {} ms after that was \
-         told, the last after {:.1} s",
-        after.len(),
-        GRACE.as_millis(),
-        after.last().map_or(0.0, Duration::as_secs_f64)
+        "{} of {NODES} nodes were checked by n{STOPPED} while another limiter held their slots",
+        doubly_held.len()
     );
     record.line(&summary);
     println!("{summary}");
-    Ok(if after.is_empty() { Finding::Held } else { Finding::Broken(summary) })
+    Ok(if doubly_held.is_empty() { Finding::Held } else { Finding::Broken(summary) })
 }
--- a/review/standins-2/src/bin/case-6.rs
+++ b/review/standins-2/src/bin/case-6.rs
@@ -77,6 +77,7 @@
             counter,
             settings: settings(me, 2, CLASSES),
             operator: Some(operator.clone()),
+            options: "",
         };
         limiters.push(Limiter::start(&setup, &case.folder, record)?);
     }
--- a/review/standins-2/src/bin/case-7.rs
+++ b/review/standins-2/src/bin/case-7.rs
@@ -88,6 +88,7 @@
                 "[[authoriser]]\nname = \"risk\"\naddress = \"{authorizer}\"\n\
                  classes = {{ bind-policy = \"refuse\", price-quote = \"pass\" }}\n"
             )),
+            options: "",
         };
         limiters.push(Limiter::start(&setup, &case.folder, record)?);
     }
--- a/review/standins-2/src/bin/case-9.rs
+++ b/review/standins-2/src/bin/case-9.rs
@@ -91,6 +91,7 @@
             counter,
             settings: settings(me, 2, CLASSES),
             operator: None,
+            options: "",
         };
         limiters.push(Limiter::start(&setup, &case.folder, record)?);
     }
--- a/review/standins-2/src/limiter.rs
+++ b/review/standins-2/src/limiter.rs
@@ -32,6 +32,8 @@
     pub settings: String,
     /// The operator's file, if there is one.
     pub operator: Option<String>,
+    /// Further options of the command.
+    pub options: &'static str,
 }
 
 impl Setup {
@@ -78,8 +80,9 @@
             fs::write(&path, operator).map_err(|error| error.to_string())?;
             command = format!("{command} --operator {}", path.display());
         }
+        command = format!("{command}{}", setup.options);
         let log = folder.join(format!("{}.log", setup.name));
-        let file = File::create(&log).map_err(|error| error.to_string())?;
+        let file = File::options().create(true).append(true).open(&log).map_err(|error| error.to_string())?;
         let errors = file.try_clone().map_err(|error| error.to_string())?;
         let mut shell = Command::new("/bin/sh");
         shell.arg("-c").arg(&command).env("ROUTER_CONFIG", &config).env("ROUTER_NAME", &setup.name);
@@ -129,7 +132,21 @@
         }
     }
 
-    /// Its log so far.
+    /// Ends the process as at a planned restart, and waits for its end.
+    pub fn terminate(mut self, record: &Record) -> Result<(), String> {
+        self.signal(SIGTERM);
+        let started = Instant::now();
+        while !self.has_ended() {
+            if started.elapsed() > Duration::from_secs(5) {
+                return Err(format!("limiter {} did not end after SIGTERM", self.name));
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        record.line(format!("limiter {} has ended after SIGTERM", self.name));
+        Ok(())
+    }
+
+    /// Its log so far, of all its starts.
     pub fn log_text(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
