Review: one place for settings, limiters and logs of the cases' installations

Need: five drivers wrote the same settings and the same start of limiters again. Change: installation.rs; discovery's stand-in keeps a list that does not change; what no case uses is gone.

--- a/review/standins-2/src/bin/case-10.rs
+++ b/review/standins-2/src/bin/case-10.rs
@@ -1,9 +1,10 @@
 //! Case 10: a new `term_ms` comes to one limiter after the other; one that still has the old one is stopped for 5.5 s and
 //! goes on to act as the holder of slots that others hold.
 
-use review_standins_2::case::{run, settings, Case, Finding};
+use review_standins_2::case::{run, Case, Finding};
 use review_standins_2::counter;
-use review_standins_2::discovery::{Discovery, Entry};
+use review_standins_2::discovery;
+use review_standins_2::installation::{self, USUAL_KEYED_CLASS};
 use review_standins_2::limiter::{free_address, Limiter, Setup, SIGCONT, SIGSTOP};
 use review_standins_2::node::{Node, Reaction};
 use std::collections::BTreeSet;
@@ -12,7 +13,6 @@
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-const CLASSES: &str = r#"[{"name":"price-quote","aim-s":0.75,"deadline-s":2.0,"worth":2.0,"late-share":0.0,"effect":"read_like","group":"all","window-s":10.0,"streaming":false}]"#;
 const LIMITERS: usize = 3;
 const NODES: usize = 12;
 /// The limiter that is stopped; it is the last to get the new term.
@@ -84,7 +84,7 @@
         for node in 0..NODES {
             // Each limiter sees the nodes under addresses of its own, so that a node knows who checks it.
             let (checks, log) = (checks.clone(), record.clone());
-            let server = Node::start("node", move |request| {
+            let server = Node::start(&format!("s-{node}"), move |request| {
                 if request.target() == "/metrics/load" {
                     checks.lock().expect("the checks").push(Check { at: now(), limiter: me, node });
                     log.line(format!("s-{node} is checked by n{me}"));
@@ -92,21 +92,14 @@
                 Reaction::Answer("200 OK", "util=0.2".to_string())
             })
             .map_err(fail)?;
-            let id = format!("s-{node}");
-            entries.push(Entry {
-                id,
-                address: server.address,
-                zone: "room-a",
-                cell: 0,
-                lifecycle: "in_service",
-            });
+            entries.push(installation::in_service(&server));
         }
         setups.push(Setup {
             name: format!("n{me}"),
             listen: free_address().map_err(fail)?,
-            discovery: Discovery::start(1, entries).map_err(fail)?.address,
+            discovery: discovery::start(&entries).map_err(fail)?,
             counter,
-            settings: settings(me as u32, LIMITERS as u32, CLASSES),
+            settings: installation::settings(me, LIMITERS, USUAL_KEYED_CLASS),
             operator: Some(operator(me, OLD_TERM_MS)),
             options: " --log json",
         });
@@ -138,12 +131,7 @@
     }
     thread::sleep(LOOK);
     thread::sleep(Duration::from_secs(1));
-    for limiter in &mut limiters {
-        if limiter.has_ended() {
-            return Err(format!("limiter {} has ended by itself", limiter.name));
-        }
-        record.line(format!("log of {}:\n{}", limiter.name, limiter.log_text()));
-    }
+    installation::finish(case, &mut limiters)?;
     let checks = checks.lock().expect("the checks").clone();
     let mut doubly_held = BTreeSet::new();
     for other in (0..LIMITERS).filter(|me| *me != STOPPED) {
--- a/review/standins-2/src/bin/case-6.rs
+++ b/review/standins-2/src/bin/case-6.rs
@@ -1,18 +1,17 @@
 //! Case 6: a version of the inventory moves a node to another cell; a keyed request is sent on by the old cell.
 
-use review_standins_2::case::{run, settings, Case, Finding};
+use review_standins_2::case::{run, Case, Finding};
 use review_standins_2::client::{Client, Request};
-use review_standins_2::counter;
+use review_standins_2::installation::{self, KeyedClass};
 use review_standins_2::inventory::{self, Row};
-use review_standins_2::limiter::{free_address, Limiter, Setup};
+use review_standins_2::limiter::free_address;
 use review_standins_2::node::{Node, Reaction};
 use std::collections::{BTreeMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
-const CLASSES: &str = r#"[{"name":"price-quote","aim-s":0.75,"deadline-s":2.0,"worth":2.0,"late-share":0.0,"effect":"read_like","group":"all","window-s":10.0,"streaming":false},
-{"name":"bind-policy","aim-s":1.2,"deadline-s":5.0,"worth":5.0,"late-share":0.2,"effect":"idempotency_key","group":"cell","window-s":10.0,"streaming":false}]"#;
+const KEYED: KeyedClass = KeyedClass { group: "cell", window_s: 10.0, deadline_s: 5.0 };
 /// The node that moves from cell 0 to cell 1.
 const MOVED: &str = "s-2";
 const REQUESTS: usize = 200;
@@ -54,7 +53,7 @@
             let runs = world.runs.entry(key.to_string()).or_default();
             runs.push(format!("{id} of cell {cell}"));
             let number: usize = key.trim_start_matches("key-").parse().unwrap_or(0);
-            if runs.len() == 1 && number % CUT_EVERY == 0 {
+            if runs.len() == 1 && number.is_multiple_of(CUT_EVERY) {
                 return Reaction::End(Duration::from_millis(20));
             }
             Reaction::AnswerAfter(Duration::from_millis(20), "200 OK", format!("done {key}"))
@@ -66,21 +65,8 @@
     let path = case.folder.join("nodes.csv");
     inventory::replace(&path, &inventory::text(1, &rows)).map_err(fail)?;
     let operator = format!("[inventory]\ncsv = \"{}\"\n", path.display());
-    let counter = counter::start().map_err(fail)?;
     let discovery = free_address().map_err(fail)?;
-    let mut limiters = Vec::new();
-    for me in 0..2 {
-        let setup = Setup {
-            name: format!("n{me}"),
-            listen: free_address().map_err(fail)?,
-            discovery,
-            counter,
-            settings: settings(me, 2, CLASSES),
-            operator: Some(operator.clone()),
-            options: "",
-        };
-        limiters.push(Limiter::start(&setup, &case.folder, record)?);
-    }
+    let mut limiters = installation::start_two_limiters(case, KEYED, discovery, Some(&operator))?;
     thread::sleep(Duration::from_secs(1));
     if case.trouble {
         rows[1].cell = 1;
@@ -113,9 +99,7 @@
         thread::sleep(Duration::from_millis(25));
     }
     thread::sleep(Duration::from_millis(500));
-    if limiters.iter_mut().any(Limiter::has_ended) {
-        return Err("a limiter has ended by itself".to_string());
-    }
+    installation::finish(case, &mut limiters)?;
     let world = world.lock().expect("the world");
     let twice: Vec<_> = world.runs.iter().filter(|(_, runs)| runs.len() > 1).collect();
     let summary = format!("{REQUESTS} requests, answers {answers:?}, {} keys ran twice", twice.len());
--- a/review/standins-2/src/bin/case-7.rs
+++ b/review/standins-2/src/bin/case-7.rs
@@ -1,11 +1,11 @@
 //! Case 7: a limiter is held up for under 0.15 s while an authoriser denies requests in time; they are sent on.
 
 use review_standins_2::authorizer::{self, Ruling};
-use review_standins_2::case::{run, settings, Case, Finding};
+use review_standins_2::case::{run, Case, Finding};
 use review_standins_2::client::{Client, Request};
-use review_standins_2::counter;
-use review_standins_2::discovery::{Discovery, Entry};
-use review_standins_2::limiter::{free_address, Limiter, Setup, SIGCONT, SIGSTOP};
+use review_standins_2::discovery;
+use review_standins_2::installation::{self, USUAL_KEYED_CLASS};
+use review_standins_2::limiter::{SIGCONT, SIGSTOP};
 use review_standins_2::node::{Node, Reaction};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -13,8 +13,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const CLASSES: &str = r#"[{"name":"price-quote","aim-s":0.75,"deadline-s":2.0,"worth":2.0,"late-share":0.0,"effect":"read_like","group":"all","window-s":10.0,"streaming":false},
-{"name":"bind-policy","aim-s":1.2,"deadline-s":5.0,"worth":5.0,"late-share":0.2,"effect":"idempotency_key","group":"all","window-s":10.0,"streaming":false}]"#;
 /// An authoriser has 100 ms for an answer, by default; it needs 60 ms, and a ruling counts if it was written within 80 ms.
 const ANSWER_AFTER: Duration = Duration::from_millis(60);
 const IN_TIME: Duration = Duration::from_millis(80);
@@ -61,8 +59,7 @@
             Reaction::AnswerAfter(Duration::from_millis(20), "200 OK", format!("done {name}"))
         })
         .map_err(fail)?;
-        let id = id.to_string();
-        entries.push(Entry { id, address: node.address, zone: "room-a", cell: 0, lifecycle: "in_service" });
+        entries.push(installation::in_service(&node));
     }
     let (rulings, log) = (world.clone(), record.clone());
     let note = move |question: &[u8], ruling: Ruling| {
@@ -74,24 +71,12 @@
     };
     let denies = |question: &[u8]| id_of(question).is_some_and(|id| id.starts_with(DENIED));
     let authorizer = authorizer::start(ANSWER_AFTER, denies, note).map_err(fail)?;
-    let discovery = Discovery::start(1, entries).map_err(fail)?;
-    let counter = counter::start().map_err(fail)?;
-    let mut limiters = Vec::new();
-    for me in 0..2 {
-        let setup = Setup {
-            name: format!("n{me}"),
-            listen: free_address().map_err(fail)?,
-            discovery: discovery.address,
-            counter,
-            settings: settings(me, 2, CLASSES),
-            operator: Some(format!(
-                "[[authoriser]]\nname = \"risk\"\naddress = \"{authorizer}\"\n\
-                 classes = {{ bind-policy = \"refuse\", price-quote = \"pass\" }}\n"
-            )),
-            options: "",
-        };
-        limiters.push(Limiter::start(&setup, &case.folder, record)?);
-    }
+    let discovery = discovery::start(&entries).map_err(fail)?;
+    let operator = format!(
+        "[[authoriser]]\nname = \"risk\"\naddress = \"{authorizer}\"\n\
+         classes = {{ bind-policy = \"refuse\", price-quote = \"pass\" }}\n"
+    );
+    let mut limiters = installation::start_two_limiters(case, USUAL_KEYED_CLASS, discovery, Some(&operator))?;
     let stop = Arc::new(AtomicBool::new(false));
     let answers: Arc<Mutex<BTreeMap<String, u16>>> = Arc::default();
     let clients: Vec<_> = (0..CLIENTS)
@@ -142,12 +127,7 @@
     for client in clients {
         client.join().map_err(|_| "a client failed")?;
     }
-    for limiter in &mut limiters {
-        if limiter.has_ended() {
-            return Err(format!("limiter {} has ended by itself", limiter.name));
-        }
-        record.line(format!("log of {}:\n{}", limiter.name, limiter.log_text()));
-    }
+    installation::finish(case, &mut limiters)?;
     let (world, answers) = (world.lock().expect("the world"), answers.lock().expect("the answers"));
     let denied = world.rulings.values().filter(|ruling| ruling.denied).count();
     let mut sent_on = Vec::new();
--- a/review/standins-2/src/bin/case-8.rs
+++ b/review/standins-2/src/bin/case-8.rs
@@ -1,11 +1,10 @@
 //! Case 8: a bad client sends a request with `Content-Length` and `Transfer-Encoding`, in two pieces behind another.
 
-use review_standins_2::case::{run, settings, Case, Finding};
+use review_standins_2::case::{run, Case, Finding};
 use review_standins_2::client::{Client, Request};
-use review_standins_2::counter;
-use review_standins_2::discovery::{Discovery, Entry};
+use review_standins_2::discovery;
 use review_standins_2::http::{self, Message};
-use review_standins_2::limiter::{free_address, Limiter, Setup};
+use review_standins_2::installation::{self, USUAL_KEYED_CLASS};
 use review_standins_2::node::{Node, Reaction};
 use review_standins_2::record::Record;
 use std::collections::BTreeSet;
@@ -15,8 +14,6 @@
 use std::thread;
 use std::time::Duration;
 
-const CLASSES: &str = r#"[{"name":"price-quote","aim-s":0.75,"deadline-s":2.0,"worth":2.0,"late-share":0.0,"effect":"read_like","group":"all","window-s":10.0,"streaming":false},
-{"name":"bind-policy","aim-s":1.2,"deadline-s":5.0,"worth":5.0,"late-share":0.2,"effect":"idempotency_key","group":"all","window-s":10.0,"streaming":false}]"#;
 /// How often the bad client connects and tries.
 const TRIES: usize = 20;
 /// Time between the pieces of a request.
@@ -108,24 +105,10 @@
             Reaction::AnswerAfter(Duration::from_millis(10), "200 OK", format!("done {name}"))
         })
         .map_err(fail)?;
-        let id = id.to_string();
-        entries.push(Entry { id, address: node.address, zone: "room-a", cell: 0, lifecycle: "in_service" });
-    }
-    let discovery = Discovery::start(1, entries).map_err(fail)?;
-    let counter = counter::start().map_err(fail)?;
-    let mut limiters = Vec::new();
-    for me in 0..2 {
-        let setup = Setup {
-            name: format!("n{me}"),
-            listen: free_address().map_err(fail)?,
-            discovery: discovery.address,
-            counter,
-            settings: settings(me, 2, CLASSES),
-            operator: None,
-            options: "",
-        };
-        limiters.push(Limiter::start(&setup, &case.folder, record)?);
+        entries.push(installation::in_service(&node));
     }
+    let discovery = discovery::start(&entries).map_err(fail)?;
+    let mut limiters = installation::start_two_limiters(case, USUAL_KEYED_CLASS, discovery, None)?;
     let mut usual_client = Client::new(limiters[1].listen);
     let (mut served_alone, mut served_behind) = (0, 0);
     for number in 0..TRIES {
@@ -143,9 +126,7 @@
             return Err(format!("a usual request was answered {status}"));
         }
     }
-    if limiters.iter_mut().any(Limiter::has_ended) {
-        return Err("a limiter has ended by itself".to_string());
-    }
+    installation::finish(case, &mut limiters)?;
     let ran = ran.lock().expect("the names");
     let count = |prefix: &str| ran.iter().filter(|name| name.starts_with(prefix)).count();
     let (bad, hidden) = (count("bad-"), count("hidden-"));
--- a/review/standins-2/src/bin/case-9.rs
+++ b/review/standins-2/src/bin/case-9.rs
@@ -1,18 +1,17 @@
 //! Case 9: a keyed request that has run is refused after its servers have forgotten the key; the client tries again.
 
-use review_standins_2::case::{run, settings, Case, Finding};
+use review_standins_2::case::{run, Case, Finding};
 use review_standins_2::client::{Client, Request};
-use review_standins_2::counter;
-use review_standins_2::discovery::{Discovery, Entry};
-use review_standins_2::limiter::{free_address, Limiter, Setup};
+use review_standins_2::discovery;
+use review_standins_2::installation::{self, KeyedClass};
 use review_standins_2::node::{Node, Reaction};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-const CLASSES: &str = r#"[{"name":"price-quote","aim-s":0.75,"deadline-s":2.0,"worth":2.0,"late-share":0.0,"effect":"read_like","group":"all","window-s":10.0,"streaming":false},
-{"name":"bind-policy","aim-s":1.2,"deadline-s":5.0,"worth":5.0,"late-share":0.2,"effect":"idempotency_key","group":"all","window-s":1.0,"streaming":false}]"#;
+/// The keyed class: the window is shorter than the deadline.
+const KEYED: KeyedClass = KeyedClass { group: "all", window_s: 1.0, deadline_s: 5.0 };
 /// How long the servers remember a key, as in the settings.
 const KEY_WINDOW: Duration = Duration::from_secs(1);
 /// A connection ends so long after the request on it has run.
@@ -71,30 +70,16 @@
                 None => format!("{id} drops the repeat of {key}, request {name}"),
             });
             let number: usize = key.rsplit('-').next().and_then(|text| text.parse().ok()).unwrap_or(1);
-            if trouble && run == Some(1) && number % CUT_EVERY == 0 {
+            if trouble && run == Some(1) && number.is_multiple_of(CUT_EVERY) {
                 return Reaction::End(END_AFTER);
             }
             Reaction::AnswerAfter(Duration::from_millis(30), "200 OK", format!("done {key}"))
         })
         .map_err(fail)?;
-        let id = id.to_string();
-        entries.push(Entry { id, address: node.address, zone: "room-a", cell: 0, lifecycle: "in_service" });
-    }
-    let discovery = Discovery::start(1, entries).map_err(fail)?;
-    let counter = counter::start().map_err(fail)?;
-    let mut limiters = Vec::new();
-    for me in 0..2 {
-        let setup = Setup {
-            name: format!("n{me}"),
-            listen: free_address().map_err(fail)?,
-            discovery: discovery.address,
-            counter,
-            settings: settings(me, 2, CLASSES),
-            operator: None,
-            options: "",
-        };
-        limiters.push(Limiter::start(&setup, &case.folder, record)?);
+        entries.push(installation::in_service(&node));
     }
+    let discovery = discovery::start(&entries).map_err(fail)?;
+    let mut limiters = installation::start_two_limiters(case, KEYED, discovery, None)?;
     let addresses = [limiters[0].listen, limiters[1].listen];
     let refused: Arc<Mutex<Vec<String>>> = Arc::default();
     let clients: Vec<_> = (0..CLIENTS)
@@ -139,9 +124,7 @@
     for client in clients {
         client.join().map_err(|_| "a client failed")?;
     }
-    if limiters.iter_mut().any(Limiter::has_ended) {
-        return Err("a limiter has ended by itself".to_string());
-    }
+    installation::finish(case, &mut limiters)?;
     let (world, refused) = (world.lock().expect("the world"), refused.lock().expect("the keys"));
     let twice: Vec<_> = world.runs.iter().filter(|(_, (_, runs))| *runs > 1).map(|(key, _)| key).collect();
     let summary = format!(
--- a/review/standins-2/src/case.rs
+++ b/review/standins-2/src/case.rs
@@ -71,15 +71,3 @@
     println!("{text}");
     exit(code)
 }
-
-/// Settings like those of a small deployment. `classes` is the JSON text of the classes.
-pub fn settings(me: u32, peers: u32, classes: &str) -> String {
-    format!(
-        r#"{{"me":{me},"peers-total":{peers},"zone":"room-a","areas":["room-a","room-b"],"period-s":0.002,"discovery":"pushed",
-"classes":{classes},
-"tariffs":[{{"name":"network","rate":200.0,"depth":400.0,"open":0,"pays":1.6,"extra-worth":0.0,"excess-cost":0.6,"hard-rate":0.0,"hard-burst":0.0,"cap-slack":0.0}}],
-"family-info":{{"has-counter":true,"count-limit-s":0.05,"max-units":4,"post-paid":false}},
-"invariants":{{"drain-grace-s":0.25,"fall-multiple":3.0,"grace-to-answer-s":0.008,"must-ask-in-s":10.0,"overload-for-s":2.0,"ramp-time-s":18.0,"start-capacity":0.21}},
-"limits":{{"cancel":true,"connect-timeout-s":0.25,"idle-close-s":15.0,"max-attempts":5,"max-open":20000,"max-retry-after-s":2.0,"may-probe":true,"retry-after":true,"second-copies":false}}}}"#
-    )
-}
--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -51,7 +51,6 @@
     /// Sends a request and waits for its answer; `None` if none came in the request's time and a second.
     pub fn ask(&mut self, request: &Request) -> Option<Message> {
         let answer = self.exchange(request);
-        // The limiter may have closed the connection between requests: then the client sends once more on a new one.
         let close = answer.as_ref().is_none_or(|answer| answer.header("connection") == Some("close"));
         if close {
             self.stream = None;
@@ -60,7 +59,7 @@
     }
 
     fn exchange(&mut self, request: &Request) -> Option<Message> {
-        // Clients here rest for less than the 2 s after which a limiter may close a connection, else they connect anew.
+        // The clients of the cases rest for less than the 2 s after which a limiter may close a connection.
         if self.stream.is_none() {
             let stream = TcpStream::connect_timeout(&self.address, Duration::from_secs(1)).ok()?;
             let _ = stream.set_nodelay(true);
@@ -72,11 +71,6 @@
         stream.get_mut().write_all(&request.bytes()).ok()?;
         http::read(stream)
     }
-
-    /// Closes the connection.
-    pub fn close(&mut self) {
-        self.stream = None;
-    }
 }
 
 /// `GET path` on a new connection.
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod counter;
 pub mod discovery;
 pub mod http;
+pub mod installation;
 pub mod inventory;
 pub mod limiter;
 pub mod node;
--- a/review/standins-2/src/limiter.rs
+++ b/review/standins-2/src/limiter.rs
@@ -12,9 +12,8 @@
 
 const SIGKILL: i32 = 9;
 const PR_SET_PDEATHSIG: i32 = 1;
-/// `SIGHUP`, `SIGSTOP` and `SIGCONT` have these numbers on every Linux of x86-64 and arm64.
-pub const SIGHUP: i32 = 1;
-pub const SIGTERM: i32 = 15;
+/// Signals have these numbers on Linux of x86-64 and of arm64.
+const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
@@ -52,7 +51,6 @@
 pub struct Limiter {
     pub name: String,
     pub listen: SocketAddr,
-    pub config: PathBuf,
     child: Child,
     log: PathBuf,
 }
@@ -99,7 +97,7 @@
         }
         let child = shell.spawn().map_err(|error| error.to_string())?;
         record.line(format!("limiter {} started, pid {}, at {}", setup.name, child.id(), setup.listen));
-        let mut limiter = Limiter { name: setup.name.clone(), listen: setup.listen, config, child, log };
+        let mut limiter = Limiter { name: setup.name.clone(), listen: setup.listen, child, log };
         limiter.wait_until_ready(record)?;
         Ok(limiter)
     }
--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -11,8 +11,6 @@
 pub enum Reaction {
     /// Answers with this status line and body.
     Answer(&'static str, String),
-    /// Answers 503 with `X-Unprocessed: 1`: turned away.
-    TurnAway,
     /// Waits, then ends the connection without an answer.
     End(Duration),
     /// Waits, then answers.
@@ -61,9 +59,6 @@
     while let Some(request) = http::read(&mut reader) {
         let written = match decide(&request) {
             Reaction::Answer(status, body) => http::respond(&mut writer, status, &[], &body),
-            Reaction::TurnAway => {
-                http::respond(&mut writer, "503 Service Unavailable", &[("X-Unprocessed", "1")], "")
-            }
             Reaction::End(wait) => {
                 thread::sleep(wait);
                 let _ = writer.shutdown(Shutdown::Both);
