Review: case 7, clients of different pace

Need: after a hold-up the clients asked in step, so that few questions were open at the next one. Change: each pair of clients has a pace of its own, and denied and plain requests alternate.

--- a/review/standins-2/src/bin/case-7.rs
+++ b/review/standins-2/src/bin/case-7.rs
@@ -85,11 +85,13 @@
             let (stop, answers) = (stop.clone(), answers.clone());
             thread::spawn(move || {
                 let mut connection = Client::new(listen);
-                for number in 0.. {
+                // Clients differ in their pace: after a hold-up they would else ask in step.
+                let pace = Duration::from_millis(20 + 9 * (client / 2) as u64);
+                for number in 0_usize.. {
                     if stop.load(Ordering::Relaxed) {
                         return;
                     }
-                    let kind = if number % 2 == 0 { DENIED } else { "plain-" };
+                    let kind = if (number + client / 2).is_multiple_of(2) { DENIED } else { "plain-" };
                     let request = Request {
                         class: "price-quote",
                         customer: 1 + client as u64,
@@ -102,7 +104,7 @@
                     let status = connection.ask(&request).map_or(0, |answer| answer.status());
                     log.line(format!("client: request {} is answered {status}", request.id));
                     answers.lock().expect("the answers").insert(request.id, status);
-                    thread::sleep(Duration::from_millis(30));
+                    thread::sleep(pace);
                 }
             })
         })
