Judge each request head by exactly its own bytes, however they were received

A sound chunked request in two pieces behind another was answered 400.

Cause: hyper removes Content-Length beside Transfer-Encoding, so the raw head was parsed again. The raw bytes were those received since the reply before; what hyper had read of the next head while the request before was open was not among them, and the rest can look like a head.

Change: RequestStream stands between the socket and hyper and passes on one request at a time, so the bytes of each head are known wherever it was cut. Its framing is checked when its end is found. Where hyper and the stream disagree, the connection ends. A transfer coding other than one "chunked" is rejected. Related paths: responses with both lengths or another coding were passed on as served and count as broken now; the kit's reader took both lengths for chunked.

--- a/crates/daemon/src/listeners/http/connection.rs
+++ b/crates/daemon/src/listeners/http/connection.rs
@@ -1,5 +1,6 @@
 //! The state of a client's connection, and the choice of connections to close when the limit is reached.
 
+use super::request_stream::RequestStream;
 use crate::upstream::socket::Socket;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -31,10 +32,13 @@
     pub lingering: Cell<bool>,
     /// Notified to close the connection once no request is open on it.
     pub close: Notify,
+    /// Whether the connection closes after the next reply.
+    pub close_after_reply: Cell<bool>,
+    /// The requests of the client.
+    pub requests: Rc<RequestStream>,
     /// When the connection was asked to close to make room for a new one. If it does not close in time, others are
     /// asked instead.
     close_requested_at: Cell<Option<Instant>>,
-    socket: Rc<Socket>,
 }
 
 /// The order in which connections are closed to make room for new ones. Those that have not sent a request come
@@ -55,8 +59,9 @@
             close_announced: Cell::new(false),
             lingering: Cell::new(false),
             close: Notify::new(),
+            close_after_reply: Cell::new(false),
+            requests: RequestStream::new(socket),
             close_requested_at: Cell::new(None),
-            socket,
         })
     }
 
@@ -77,7 +82,7 @@
 
     /// Whether a part of a request was received.
     pub(super) fn has_partial_request(&self) -> bool {
-        self.socket.has_recorded()
+        self.requests.has_partial_head()
     }
 
     /// The rank among the connections that may be closed to make room for a new one; `None` if this one may not.
--- a/crates/daemon/src/listeners/http/exchange.rs
+++ b/crates/daemon/src/listeners/http/exchange.rs
@@ -3,10 +3,11 @@
 
 use super::connection::{BusyGuard, Connection};
 use super::reply::{self, Reply};
+use super::request_stream::{RequestIo, MAX_HEAD_BYTES};
 use super::HttpServer;
-use crate::upstream::socket::{Socket, SocketIo};
-use hyper::body::Incoming;
-use hyper::header::{CONNECTION, TRANSFER_ENCODING};
+use crate::upstream::socket::Socket;
+use hyper::body::{Body, Incoming};
+use hyper::header::CONNECTION;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::Request;
@@ -26,12 +27,10 @@
 /// closing it with unread bytes would reset it, and the client could lose the reply.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 const LINGER_BYTES: usize = 256 * 1024;
-const MAX_HEAD_BYTES: usize = 16 * 1024;
 
 impl HttpServer {
     /// Serves a connection until it is closed.
     pub(super) async fn serve_connection(self: &Rc<Self>, socket: &Rc<Socket>, connection: &Rc<Connection>) {
-        socket.record_up_to(MAX_HEAD_BYTES);
         if !self.serve_requests(socket, connection).await {
             return;
         }
@@ -58,7 +57,9 @@
         let mut builder = http1::Builder::new();
         builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
         builder.max_buf_size(MAX_HEAD_BYTES);
-        let mut http = pin!(builder.serve_connection(TokioIo::new(SocketIo(socket.clone())), service));
+        let mut http = pin!(
+            builder.serve_connection(TokioIo::new(RequestIo::new(connection.requests.clone())), service)
+        );
         loop {
             tokio::select! {
                 // hyper is polled first, so that it reads the bytes that are available.
@@ -74,10 +75,13 @@
                     // Closing now would lose a request that has arrived but was not read yet: it is served first.
                     if connection.busy.get() || socket.is_idle() {
                         if connection.is_unused() {
-                            // hyper's graceful shutdown would wait for the rest of a partial head.
                             return false;
                         }
-                        http.as_mut().graceful_shutdown();
+                        if connection.busy.get() || !connection.has_partial_request() {
+                            http.as_mut().graceful_shutdown();
+                        }
+                        // hyper has nothing of a partial head, and would close before the rest has been received.
+                        connection.close_after_reply.set(true);
                     }
                 }
             }
@@ -106,19 +110,20 @@
         connection: &Connection,
         accepted_at: Option<Instant>,
     ) -> Reply {
-        let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
-        let raw = if is_chunked { socket.take_recorded() } else { Vec::new() };
-        socket.record_up_to(0);
-        let mut reply = if request.uri().path() == "/up" {
+        let body_size = request.body().size_hint().exact();
+        let framing = connection.requests.begin_body(body_size);
+        let mut reply = if let Err(error) = framing {
+            reply::not_admitted(error)
+        } else if request.uri().path() == "/up" {
             reply::readiness(request.method(), self.ready.get() && !self.draining.get())
         } else {
-            let result = self.handle(request, raw, connection, accepted_at).await;
+            let result = self.handle(request, connection, accepted_at).await;
             result.unwrap_or_else(reply::not_admitted)
         };
-        socket.record_up_to(MAX_HEAD_BYTES);
-        // The connection closes after a chunked body, because another parser could find a different end of the body
-        // and read the bytes behind it as a request. It also closes if more bytes arrived than could be recorded.
-        if is_chunked || socket.is_overrun() || self.draining.get() {
+        // Nothing behind a chunked body is read as a request. The connection also closes if bytes were dropped that
+        // arrived behind the request.
+        let is_last = body_size.is_none() || socket.is_overrun() || connection.close_after_reply.get();
+        if is_last || self.draining.get() {
             reply::close_connection(&mut reply);
         }
         reply
--- a/crates/daemon/src/listeners/http/head.rs
+++ b/crates/daemon/src/listeners/http/head.rs
@@ -8,7 +8,7 @@
 use crate::listeners::fields::{self, MAX_ID_BYTES};
 use crate::upstream::headers::{CORRELATION_ID, IDEMPOTENCY_KEY, TIME_LEFT};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::Method;
 use liftrouter_decision::{Class, Idempotency, Settings};
@@ -19,9 +19,6 @@
 /// Set to `1` by the client on a retry.
 pub(super) const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
 
-/// The maximum number of headers that hyper accepts in a request.
-const MAX_HEADERS: usize = 100;
-
 /// The fields of a valid request head.
 pub(super) struct CheckedHead {
     pub class: String,
@@ -38,23 +35,14 @@
     pub reachable_instances: u32,
 }
 
-/// Validates a request head. `raw` contains the bytes received since the previous request, starting with the head. It
-/// is used only for chunked requests.
+/// Validates a request head.
 ///
 /// # Errors
 /// The first error found. The path is checked first, so that an unknown path is reported as not found, whatever the
 /// headers are.
-pub(super) fn check(
-    settings: &Settings,
-    head: &Parts,
-    body: &Incoming,
-    raw: &[u8],
-) -> Result<CheckedHead, RequestError> {
+pub(super) fn check(settings: &Settings, head: &Parts, body: &Incoming) -> Result<CheckedHead, RequestError> {
     let headers = &head.headers;
     let (class, customer) = parse_path(settings, head.uri.path())?;
-    if headers.contains_key(TRANSFER_ENCODING) && !is_only_chunked(raw) {
-        return Err(RequestError::AmbiguousLength);
-    }
     let customer = fields::parse_customer(customer).ok_or(RequestError::MalformedCustomer)?;
     let correlation_id =
         read_single_id(headers, CORRELATION_ID).ok_or(RequestError::MalformedCorrelationId)?;
@@ -118,18 +106,6 @@
     Ok(())
 }
 
-/// Whether a chunked request has no `Content-Length` header.
-///
-/// hyper removes `Content-Length` if both headers are present, and a peer that uses the length would find another
-/// request in the body (request smuggling). So the raw head is parsed again.
-fn is_only_chunked(raw: &[u8]) -> bool {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut head = httparse::Request::new(&mut headers);
-    // If the raw head is missing (it was pipelined behind another request), both headers are assumed.
-    matches!(head.parse(raw), Ok(httparse::Status::Complete(_)))
-        && head.headers.iter().all(|header| !header.name.eq_ignore_ascii_case(CONTENT_LENGTH.as_str()))
-}
-
 /// Parses `units=2,spread=3,first=1`: the units, the number of instances that the customer reaches, and the first of
 /// these, which is validated but not used. Unknown names are ignored.
 fn parse_metering(settings: &Settings, text: &str) -> Option<Metering> {
--- a/crates/daemon/src/listeners/http/mod.rs
+++ b/crates/daemon/src/listeners/http/mod.rs
@@ -10,6 +10,7 @@
 mod rejection;
 mod reply;
 mod request;
+mod request_stream;
 
 use super::accept::{accept, accept_queued, ACCEPT_PAUSE};
 use super::admission::Admission;
--- a/crates/daemon/src/listeners/http/request.rs
+++ b/crates/daemon/src/listeners/http/request.rs
@@ -34,14 +34,12 @@
     pub(super) async fn handle(
         &self,
         request: Request<Incoming>,
-        raw_head: Vec<u8>,
         connection: &Connection,
         accepted_at: Option<Instant>,
     ) -> Result<Reply, RequestError> {
         let admission = &self.admission;
         let (head, body) = request.into_parts();
-        let checked = head::check(&admission.settings, &head, &body, &raw_head)?;
-        drop(raw_head);
+        let checked = head::check(&admission.settings, &head, &body)?;
         let size = body::reserved_size(&body)?;
         // Held until the request is answered, so that the bodies of all open requests stay within the memory limit.
         let _reservation = admission.reserve_body(size).ok_or(RequestError::BodyMemoryExhausted)?;
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
@@ -144,7 +145,7 @@
     /// [`HttpConnection::drive`].
     ///
     /// # Errors
-    /// [`ExchangeError::NotSent`] or [`ExchangeError::Broken`].
+    /// [`ExchangeError::NotSent`] or [`ExchangeError::Broken`], the latter also if the end of the body is ambiguous.
     pub async fn send_request(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -152,10 +153,14 @@
         self.socket.begin_message();
         let response = self.sender.send_request(request);
         let result = self.driver.drive(response).await;
-        result.map_err(|_| match self.socket.write_progress() {
+        let response = result.map_err(|_| match self.socket.write_progress() {
             WriteProgress::Complete => ExchangeError::Broken,
             WriteProgress::None | WriteProgress::Partial => ExchangeError::NotSent,
-        })
+        })?;
+        if !is_framed_once(response.headers()) {
+            return Err(ExchangeError::Broken);
+        }
+        Ok(response)
     }
 
     /// Sends a request and waits for the complete response. The time until the response begins is not limited, but once
@@ -263,6 +268,15 @@
     }
 }
 
+/// Whether a response has one framing that all parsers understand alike. With another one the body may be a different one
+/// from what the server sent, and bytes of it may be taken for the next response.
+fn is_framed_once(headers: &HeaderMap) -> bool {
+    let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    let Some(encoding) = encodings.next() else { return true };
+    let is_chunked = encoding.as_bytes().eq_ignore_ascii_case(b"chunked") && encodings.next().is_none();
+    is_chunked && !headers.contains_key(CONTENT_LENGTH)
+}
+
 impl Drop for HttpConnection {
     fn drop(&mut self) {
         let written = self.socket.write_progress();
--- a/crates/daemon/src/upstream/read_ahead.rs
+++ b/crates/daemon/src/upstream/read_ahead.rs
@@ -5,7 +5,7 @@
 use tokio::io::ReadBuf;
 
 /// Maximum number of buffered bytes. A peer that waits for a response does not send more than this after its request.
-const MAX_BUFFERED: usize = 16 * 1024;
+const MAX_BUFFERED: usize = 32 * 1024;
 /// Number of bytes read ahead after which the peer is treated as disconnected, because it keeps sending without waiting
 /// for a response.
 const MAX_READ: usize = 1024 * 1024;
--- a/crates/daemon/src/upstream/socket.rs
+++ b/crates/daemon/src/upstream/socket.rs
@@ -44,9 +44,6 @@
     is_responding: Cell<bool>,
     /// Whether the peer has sent anything while the latest message was not written completely.
     responded_early: Cell<bool>,
-    /// The first bytes received since [`Socket::record_up_to`], at most `record_limit`.
-    recorded: RefCell<Vec<u8>>,
-    record_limit: Cell<usize>,
     read_ahead: RefCell<ReadAhead>,
 }
 
@@ -59,8 +56,6 @@
             write_progress: Cell::new(WriteProgress::None),
             is_responding: Cell::new(false),
             responded_early: Cell::new(false),
-            recorded: RefCell::default(),
-            record_limit: Cell::new(0),
             read_ahead: RefCell::default(),
         })
     }
@@ -145,24 +140,6 @@
         SockRef::from(&*self.stream()?).shutdown(Shutdown::Write)
     }
 
-    /// Discards the recorded bytes, and records up to `limit` bytes that are received from now on. With a limit of 0,
-    /// recording stops.
-    pub fn record_up_to(&self, limit: usize) {
-        self.recorded.borrow_mut().clear();
-        self.record_limit.set(limit);
-    }
-
-    /// Whether any bytes are recorded.
-    pub fn has_recorded(&self) -> bool {
-        !self.recorded.borrow().is_empty()
-    }
-
-    /// Takes the recorded bytes and stops recording.
-    pub fn take_recorded(&self) -> Vec<u8> {
-        self.record_limit.set(0);
-        self.recorded.take()
-    }
-
     /// A lingering close: shuts down the sending side, and discards received data until the peer has closed the
     /// connection, `max_time` has passed or `max_bytes` have been received. Closing a socket with unread data would
     /// reset the connection, and the peer could lose the response.
@@ -217,14 +194,27 @@
         matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Receives into the unfilled part of `buffer`, first what was read ahead. Returns the number of bytes; 0 at the end
+    /// of the stream.
+    pub fn poll_receive(&self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<usize>> {
+        let mut read_ahead = self.read_ahead.borrow_mut();
+        if let Some(count) = read_ahead.take(buffer) {
+            self.received(buffer, count);
+            return Poll::Ready(Ok(count));
+        }
+        if let Some(end) = read_ahead.end() {
+            return Poll::Ready(end.map(|()| 0));
+        }
+        let count = ready!(self.poll_try_read(cx, buffer.initialize_unfilled()))?;
+        self.received(buffer, count);
+        Poll::Ready(Ok(count))
+    }
+
     /// Accounts for `count` bytes that were read into the unfilled part of `buffer`, and advances it.
     fn received(&self, buffer: &mut ReadBuf<'_>, count: usize) {
         self.is_responding.set(true);
         self.responded_early
             .set(self.responded_early.get() || self.write_progress.get() != WriteProgress::Complete);
-        let mut recorded = self.recorded.borrow_mut();
-        let capacity = self.record_limit.get().saturating_sub(recorded.len());
-        recorded.extend_from_slice(&buffer.initialize_unfilled()[..count.min(capacity)]);
         buffer.advance(count);
     }
 }
@@ -238,18 +228,7 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let socket = &self.0;
-        let mut read_ahead = socket.read_ahead.borrow_mut();
-        if let Some(count) = read_ahead.take(buffer) {
-            socket.received(buffer, count);
-            return Poll::Ready(Ok(()));
-        }
-        if let Some(end) = read_ahead.end() {
-            return Poll::Ready(end);
-        }
-        let count = ready!(socket.poll_try_read(cx, buffer.initialize_unfilled()))?;
-        socket.received(buffer, count);
-        Poll::Ready(Ok(()))
+        self.0.poll_receive(cx, buffer).map_ok(|_| ())
     }
 }
 
--- a/crates/rehearsal/src/net/message.rs
+++ b/crates/rehearsal/src/net/message.rs
@@ -173,7 +173,10 @@
     unsized_is: Option<usize>,
     ended: bool,
 ) -> Result<Option<(Vec<u8>, usize)>, Malformed> {
-    if headers.get("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
+    if let Some(encoding) = headers.get("transfer-encoding") {
+        if !encoding.eq_ignore_ascii_case("chunked") || headers.get("content-length").is_some() {
+            return Err(Malformed(format!("a body in two framings: Transfer-Encoding {encoding:?}")));
+        }
         return chunks(buffer, head);
     }
     let length = match headers.get("content-length") {
@@ -275,6 +278,21 @@
         assert_eq!((third.status, third.body.as_slice(), third.last), (502, &b"to the end"[..], true));
     }
 
+    /// Guards against a stand-in that finds another end of a body than the limiter does.
+    #[test]
+    fn a_body_in_two_framings_is_malformed() {
+        for framing in [
+            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+            "Transfer-Encoding: gzip, chunked\r\n",
+        ] {
+            let request = format!("POST /bind/1 HTTP/1.1\r\n{framing}\r\n0\r\n\r\n");
+            assert!(take_request(&mut request.into_bytes()).is_err(), "{framing}");
+            let answer = format!("HTTP/1.1 200 OK\r\n{framing}\r\n0\r\n\r\n");
+            assert!(take_answer(&mut answer.into_bytes(), true).is_err(), "{framing}");
+        }
+    }
+
     proptest! {
         #[test]
         fn no_bytes_make_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..400), ended: bool) {
