--- a/crates/daemon/src/counter/client.rs
+++ b/crates/daemon/src/counter/client.rs
@@ -2,6 +2,7 @@
 
 use crate::count_guard::CountGuard;
 use crate::log::{log, Occurrences};
+use crate::memory::MemoryBudget;
 use crate::upstream::connection::{ExchangeError, HttpConnection};
 use crate::upstream::connection_counts::ConnectionCounts;
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
@@ -45,6 +47,7 @@
     /// Time before which calls fail without a connection attempt.
     backoff_until: Cell<Option<Instant>>,
     malformed_answers: Occurrences,
+    memory: Arc<MemoryBudget>,
 }
 
 /// A slot for one call, released when it is dropped.
@@ -71,8 +74,9 @@
 }
 
 impl CounterClient {
-    /// A client of the counter at `address`, or of one whose address is not known yet.
-    pub fn new(address: Option<SocketAddr>, settings: &Settings) -> Self {
+    /// A client of the counter at `address`, or of one whose address is not known yet. Response bodies are charged to
+    /// `memory`.
+    pub fn new(address: Option<SocketAddr>, settings: &Settings, memory: Arc<MemoryBudget>) -> Self {
         let timeout_s = settings.counter_timeout_s;
         let timeout_s = if timeout_s > 0.0 && timeout_s.is_finite() { timeout_s } else { DEFAULT_TIMEOUT_S };
         CounterClient {
@@ -84,6 +88,7 @@
             failed_connects: Cell::new(0),
             backoff_until: Cell::new(None),
             malformed_answers: Occurrences::default(),
+            memory,
         }
     }
 
@@ -160,15 +165,14 @@
             };
             let request = Request::post(&target).header(HOST, address.to_string()).body(Full::default());
             let Ok(request) = request else { return CounterTotal::failed(Outcome::ConnectFailed) };
-            return match timeout_at(deadline, connection.exchange(request)).await {
+            return match timeout_at(deadline, connection.exchange(request, &self.memory)).await {
                 Ok(Ok(answer)) => self.read_answer(&answer, connection, key, &target),
                 Ok(Err(ExchangeError::NotSent)) if reused => continue,
                 Ok(Err(ExchangeError::NotSent)) => CounterTotal::failed(Outcome::ConnectFailed),
                 // The increment may have been applied, or may still be, so the outcome is a timeout. The connection is
                 // dropped with the call, so that no later call reads a late answer.
-                Ok(Err(ExchangeError::Broken | ExchangeError::TooLarge)) | Err(_) => {
-                    CounterTotal::failed(Outcome::Timeout)
-                }
+                Ok(Err(ExchangeError::Broken | ExchangeError::TooLarge | ExchangeError::OutOfMemory(_)))
+                | Err(_) => CounterTotal::failed(Outcome::Timeout),
             };
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod http2;
 pub mod listeners;
 pub mod log;
+pub mod memory;
 pub mod operator;
 pub mod relay;
 pub mod serve;
--- a/crates/daemon/src/listeners/admission.rs
+++ b/crates/daemon/src/listeners/admission.rs
@@ -3,18 +3,19 @@
 //! Holds the state that the listeners share: the limit on open requests, their ids, the memory budget for their
 //! bodies, and the authorizers that are called before a request is submitted.
 
-use super::body_budget::{BodyBudget, BodyReservation};
 use super::open_ids::{OpenRequestId, OpenRequestIds};
 use super::shutdown_deadline::ShutdownDeadline;
 use crate::authorizer::{Authorization, AuthorizationRequest, Authorizer, Authorizers, Fallback};
 use crate::count_guard::CountGuard;
 use crate::events::{Answer, DisconnectGuard, EventQueue, IncomingRequest, Rejection, RequestKind};
+use crate::memory::MemoryBudget;
 use crate::upstream::headers::RESERVED;
 use hyper::header::HeaderValue;
 use liftrouter_authz::{HeaderChanges, Verdict};
 use liftrouter_decision::Settings;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::time::Instant;
 
 /// The maximum number of open requests, even if the settings allow more.
@@ -25,7 +26,7 @@
     /// The settings that requests are checked against.
     pub settings: Settings,
     events: Rc<EventQueue>,
-    body_budget: BodyBudget,
+    memory: Arc<MemoryBudget>,
     open_ids: OpenRequestIds,
     authorizers: Authorizers,
     /// The number of requests that wait for an authorizer. The event queue does not count them yet.
@@ -45,17 +46,17 @@
 }
 
 impl Admission {
-    /// Creates an admission with `body_budget` bytes for the bodies of all open requests.
+    /// Creates an admission. `memory` is shared by everything that the listeners hold of requests.
     pub fn new(
         events: Rc<EventQueue>,
         settings: Settings,
-        body_budget: usize,
+        memory: Arc<MemoryBudget>,
         authorizers: Authorizers,
     ) -> Rc<Self> {
         Rc::new(Admission {
             settings,
             events,
-            body_budget: BodyBudget::new(body_budget),
+            memory,
             open_ids: OpenRequestIds::default(),
             authorizers,
             awaiting_authorization: Cell::new(0),
@@ -75,9 +76,14 @@
         self.unanswered.get()
     }
 
-    /// Reserves memory for a body; `None` if the budget has too little left.
-    pub fn reserve_body(&self, bytes: usize) -> Option<BodyReservation<'_>> {
-        self.body_budget.reserve(bytes)
+    /// The memory budget that all listeners share.
+    pub fn memory(&self) -> &Arc<MemoryBudget> {
+        &self.memory
+    }
+
+    /// Whether an authorizer is asked about requests of this class.
+    pub fn needs_authorization(&self, class: &str) -> bool {
+        self.authorizers.for_class(class).is_some()
     }
 
     /// Whether the limit on open requests is reached.
@@ -108,7 +114,9 @@
         let Some((authorizer, fallback)) = self.authorizers.for_class(&request.class) else {
             return (self.submit(request).await, HeaderChanges::default());
         };
-        let result = self.shutdown_deadline.limit(self.authorize(authorizer, fallback, authorization)).await;
+        // In a box, so that requests without an authorizer do not take the memory of its exchange.
+        let authorize = Box::pin(self.authorize(authorizer, fallback, authorization));
+        let result = self.shutdown_deadline.limit(authorize).await;
         let changes = match result {
             Some(AuthorizationResult::Allowed(changes)) => changes,
             Some(AuthorizationResult::Answered(answer)) => return (answer, HeaderChanges::default()),
--- a/crates/daemon/src/listeners/fields.rs
+++ b/crates/daemon/src/listeners/fields.rs
@@ -6,6 +6,7 @@
 mod tests;
 
 use crate::decimal::parse_decimal;
+use hyper::header::HeaderMap;
 use liftrouter_decision::{Class, Settings};
 use std::time::Duration;
 
@@ -16,6 +17,15 @@
 const CUSTOMER_NUMBER_LIMIT: u64 = 1 << 33;
 const CUSTOMER_DIGITS: usize = 16;
 
+/// What one header takes in memory beside its name and value, in bytes: its entry in the map, and two small allocations
+/// for names and values that have their own.
+const HEADER_ENTRY_BYTES: usize = 160;
+
+/// About how much memory a map of headers takes, in bytes.
+pub fn memory_of_headers(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + HEADER_ENTRY_BYTES).sum()
+}
+
 /// Parses a customer number of 16 hexadecimal digits. Returns it in lower case, the form that the decision module uses.
 pub fn parse_customer(text: &str) -> Option<String> {
     let is_number = text.len() == CUSTOMER_DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit());
--- a/crates/daemon/src/listeners/grpc/authorization.rs
+++ b/crates/daemon/src/listeners/grpc/authorization.rs
@@ -2,7 +2,7 @@
 
 use super::context::CallContext;
 use super::unary::{
-    deadline_exceeded, invalid_argument, parse_deadline, read_message, shutting_down, MAX_WAIT,
+    deadline_exceeded, invalid_argument, out_of_memory, parse_deadline, read_message, shutting_down, MAX_WAIT,
 };
 use crate::authorizer::{AuthorizationRequest, VIA};
 use crate::decimal::parse_decimal;
@@ -23,6 +23,10 @@
 /// The maximum time that a permitted call counts as in flight, even if its class allows more.
 const MAX_CALL_DURATION: Duration = Duration::from_secs(3_600);
 
+/// What one entry of a map takes in memory beside its key and value, in bytes: its place in the map, and two small
+/// allocations.
+const MAP_ENTRY_BYTES: usize = 160;
+
 /// The decision about a check request.
 pub(super) struct Decision {
     pub response: CheckResponse,
@@ -57,7 +61,8 @@
     received_at: Instant,
 ) -> Result<Decision, Status> {
     let deadline = parse_deadline(headers, received_at)?;
-    let (check, _reservation) = read_message::<CheckRequest>(context, headers, body, deadline).await?;
+    let (check, mut memory) = read_message::<CheckRequest>(context, headers, body, deadline).await?;
+    memory.grow_by(memory_of_maps(&check)).map_err(out_of_memory)?;
     let via = parse_via(headers);
     if via.contains(&context.instance_name) || via.len() > MAX_VIA {
         // Without this check, a limiter that received its own check request would send it around the loop forever.
@@ -104,6 +109,17 @@
     }
 }
 
+/// About how much memory the maps of a check request take beside their keys and values, which the message had too: many
+/// short entries take a multiple of their size in the message.
+fn memory_of_maps(check: &CheckRequest) -> usize {
+    let Some(attributes) = &check.attributes else { return 0 };
+    let http = attributes.request.as_ref().and_then(|request| request.http.as_ref());
+    let peers = [&attributes.source, &attributes.destination];
+    let labels: usize = peers.into_iter().flatten().map(|peer| peer.labels.len()).sum();
+    let headers = http.map_or(0, |http| http.headers.len());
+    (headers + attributes.context_extensions.len() + labels) * MAP_ENTRY_BYTES
+}
+
 /// The names of the limiters that the check request has passed through.
 fn parse_via(headers: &HeaderMap) -> Vec<String> {
     let values = headers.get_all(VIA).iter().filter_map(|value| value.to_str().ok());
--- a/crates/daemon/src/listeners/grpc/call.rs
+++ b/crates/daemon/src/listeners/grpc/call.rs
@@ -5,6 +5,7 @@
 use super::context::CallContext;
 use super::reply::{self, Reply};
 use super::{health, reflection};
+use crate::memory::MemoryReservation;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
 use hyper::{Method, Request, Response, StatusCode};
@@ -16,12 +17,13 @@
 /// it.
 const REFLECTION_ALPHA: &str = "grpc.reflection.v1alpha.ServerReflection";
 
-/// Answers a call. The future is dropped if the stream is reset or the connection ends. This cancels what the call
+/// Answers a call, whose head takes `_head_memory` until then. The future is dropped if the stream is reset or the connection ends. This cancels what the call
 /// waits for, and reports the disconnect to the host.
 pub(super) async fn respond(
     context: &Rc<CallContext>,
     open_call: OpenCall,
     request: Request<Incoming>,
+    _head_memory: MemoryReservation,
 ) -> Response<Reply> {
     let received_at = Instant::now();
     let (head, body) = request.into_parts();
--- a/crates/daemon/src/listeners/grpc/serve.rs
+++ b/crates/daemon/src/listeners/grpc/serve.rs
@@ -3,10 +3,15 @@
 use super::call;
 use super::connection::{Connection, ConnectionAction, OpenCall};
 use super::context::CallContext;
-use super::reply::Reply;
+use super::reply::{self, Reply};
+use super::unary::out_of_memory;
 use crate::http2::{LocalExecutor, MeteredStream};
+use crate::listeners::fields::memory_of_headers;
+use crate::memory::{MemoryReservation, OutOfMemory};
+use hyper::body::Incoming;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
+use hyper::Request;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use liftrouter_authz::FrameMeter;
 use std::convert::Infallible;
@@ -22,9 +27,22 @@
 /// The connection's flow-control window in bytes: how much a client may send over all streams before it is read.
 const CONNECTION_WINDOW: u32 = 128 * 1024;
 const MAX_FRAME_BYTES: u32 = 16 * 1024;
+/// What an open call takes in memory beside its head and message, in bytes: its task, and its stream.
+const CALL_BYTES: usize = 3 * 1024;
 /// How much of one stream's reply may be buffered for writing.
 const SEND_BUFFER_BYTES: usize = 16 * 1024;
 
+/// Reserves memory for the head and the task of a call.
+fn reserve_call(
+    context: &CallContext,
+    request: &Request<Incoming>,
+) -> Result<MemoryReservation, OutOfMemory> {
+    let mut memory = context.admission.memory().reservation();
+    let target = request.uri().path_and_query().map_or(0, |target| target.as_str().len());
+    memory.grow_to(CALL_BYTES + target + memory_of_headers(request.headers()))?;
+    Ok(memory)
+}
+
 /// Serves a connection until it ends. Calls that are still open are then dropped, which reports their clients as
 /// disconnected.
 pub(super) async fn serve(context: &Rc<CallContext>, connection: &Rc<Connection>, stream: TcpStream) {
@@ -32,7 +50,15 @@
     let limits = &context.limits;
     let service = service_fn(|request| {
         let (context, open_call) = (context.clone(), OpenCall::new(connection));
-        async move { Ok::<_, Infallible>(call::respond(&context, open_call, request).await) }
+        // A call without memory is dropped here: hyper passes on many before it runs the first one.
+        let call = reserve_call(&context, &request).map(|memory| (request, memory));
+        async move {
+            Ok::<_, Infallible>(match call {
+                // In a box, so that the tasks of calls that are dropped are small.
+                Ok((request, memory)) => Box::pin(call::respond(&context, open_call, request, memory)).await,
+                Err(error) => reply::status(&out_of_memory(error)),
+            })
+        }
     });
     let mut builder = http2::Builder::new(LocalExecutor);
     builder
--- a/crates/daemon/src/listeners/grpc/unary.rs
+++ b/crates/daemon/src/listeners/grpc/unary.rs
@@ -1,7 +1,7 @@
 //! Reads the deadline and the message of a unary call, and maps errors in them to statuses.
 
 use super::context::CallContext;
-use crate::listeners::body_budget::BodyReservation;
+use crate::memory::{MemoryReservation, OutOfMemory};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName};
@@ -15,6 +15,8 @@
 
 /// A message must be complete within this time, the same as an HTTP/1.1 body.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// What a message takes in memory, as a multiple of its size: it is received, and then decoded.
+const MESSAGE_MEMORY_FACTOR: usize = 2;
 /// The maximum time that a call waits for its decision.
 pub(super) const MAX_WAIT: Duration = Duration::from_secs(10);
 
@@ -34,6 +36,11 @@
     Status::new(code, error.to_string())
 }
 
+/// The status for a call that there is no memory for.
+pub(super) fn out_of_memory(_: OutOfMemory) -> Status {
+    Status::new(Code::ResourceExhausted, "too much is open")
+}
+
 /// The status for a call that was not answered before its deadline.
 pub(super) fn deadline_exceeded() -> Status {
     Status::new(Code::DeadlineExceeded, "the call's deadline has passed")
@@ -54,28 +61,27 @@
 }
 
 /// Reads the message of a unary call, until the shutdown deadline at most, and reserves memory for it.
-pub(super) async fn read_message<'a, M: Message + Default>(
-    context: &'a CallContext,
+pub(super) async fn read_message<M: Message + Default>(
+    context: &CallContext,
     headers: &HeaderMap,
     body: Incoming,
     deadline: Instant,
-) -> Result<(M, BodyReservation<'a>), Status> {
+) -> Result<(M, MemoryReservation), Status> {
     let message = read_whole_message(context, headers, body, deadline);
     let message = context.admission.shutdown_deadline().limit(message).await;
     message.unwrap_or_else(|| Err(shutting_down()))
 }
 
-async fn read_whole_message<'a, M: Message + Default>(
-    context: &'a CallContext,
+async fn read_whole_message<M: Message + Default>(
+    context: &CallContext,
     headers: &HeaderMap,
     mut body: Incoming,
     deadline: Instant,
-) -> Result<(M, BodyReservation<'a>), Status> {
+) -> Result<(M, MemoryReservation), Status> {
     if headers.get(GRPC_ENCODING).is_some_and(|encoding| encoding != "identity") {
         return Err(Status::new(Code::Unimplemented, "grpc-encoding is not supported, expected identity"));
     }
-    let no_memory = || Status::new(Code::ResourceExhausted, "too much is open");
-    let mut reservation = context.admission.reserve_body(0).ok_or_else(no_memory)?;
+    let mut memory = context.admission.memory().reservation();
     let mut unary = UnaryDecoder::new(context.limits.max_message_bytes);
     let message_deadline = deadline.min(Instant::now() + MESSAGE_TIMEOUT);
     loop {
@@ -87,14 +93,12 @@
             Ok(Some(Ok(frame))) => frame,
         };
         if let Some(data) = frame.data_ref() {
-            if !reservation.try_grow(data.len()) {
-                return Err(no_memory());
-            }
+            memory.grow_by(data.len() * MESSAGE_MEMORY_FACTOR).map_err(out_of_memory)?;
             unary.push(data).map_err(frame_error)?;
         }
     }
     let message = unary.finish().map_err(frame_error)?;
     let message = M::decode(message);
     let message = message.map_err(|error| invalid_argument(format!("the message is malformed: {error}")))?;
-    Ok((message, reservation))
+    Ok((message, memory))
 }
--- a/crates/daemon/src/listeners/http/connection.rs
+++ b/crates/daemon/src/listeners/http/connection.rs
@@ -1,9 +1,11 @@
 //! The state of a client's connection, and the choice of connections to close when the limit is reached.
 
 use super::request_stream::RequestStream;
+use crate::memory::MemoryBudget;
 use crate::upstream::socket::Socket;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -50,7 +52,7 @@
 }
 
 impl Connection {
-    pub(super) fn new(socket: Rc<Socket>) -> Rc<Self> {
+    pub(super) fn new(socket: Rc<Socket>, memory: Arc<MemoryBudget>) -> Rc<Self> {
         Rc::new(Connection {
             busy: Cell::new(false),
             awaiting_answer: Cell::new(false),
@@ -60,7 +62,7 @@
             lingering: Cell::new(false),
             close: Notify::new(),
             close_after_reply: Cell::new(false),
-            requests: RequestStream::new(socket),
+            requests: RequestStream::new(socket, memory),
             close_requested_at: Cell::new(None),
         })
     }
--- a/crates/daemon/src/listeners/http/exchange.rs
+++ b/crates/daemon/src/listeners/http/exchange.rs
@@ -1,11 +1,12 @@
 //! Serves one connection: handles its requests in order, ends it when idle, and closes it without losing a request or
 //! reply.
 
+use super::client_io::ClientIo;
 use super::connection::{BusyGuard, Connection};
 use super::reply::{self, Reply};
-use super::request_stream::{RequestIo, MAX_HEAD_BYTES};
+use super::request_stream::MAX_HEAD_BYTES;
 use super::HttpServer;
-use crate::upstream::socket::Socket;
+use crate::upstream::socket::{Socket, WriteProgress};
 use hyper::body::{Body, Incoming};
 use hyper::header::CONNECTION;
 use hyper::server::conn::http1;
@@ -27,6 +28,9 @@
 /// closing it with unread bytes would reset it, and the client could lose the reply.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 const LINGER_BYTES: usize = 256 * 1024;
+/// The reply to a head for which there is no memory.
+const HEAD_REJECTION: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 impl HttpServer {
     /// Serves a connection until it is closed.
@@ -51,15 +55,16 @@
     /// case the last reply needs a lingering close.
     async fn serve_requests(self: &Rc<Self>, socket: &Rc<Socket>, connection: &Rc<Connection>) -> bool {
         let service = service_fn(|request| {
-            let (server, socket, connection) = (self.clone(), socket.clone(), connection.clone());
-            async move { Ok::<_, Infallible>(server.serve_request(request, &socket, &connection).await) }
+            let (server, connection) = (self.clone(), connection.clone());
+            async move { Ok::<_, Infallible>(server.serve_request(request, &connection).await) }
         });
         let mut builder = http1::Builder::new();
         builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
         builder.max_buf_size(MAX_HEAD_BYTES);
-        let mut http = pin!(
-            builder.serve_connection(TokioIo::new(RequestIo::new(connection.requests.clone())), service)
-        );
+        let mut http = pin!(builder.serve_connection(
+            TokioIo::new(ClientIo::new(connection.requests.clone(), socket.clone())),
+            service
+        ));
         loop {
             tokio::select! {
                 // hyper is polled first, so that it reads the bytes that are available.
@@ -68,9 +73,13 @@
                 // error reply.
                 end = http.as_mut() => return match end {
                     Ok(()) => connection.close_announced.get(),
+                    Err(_) if connection.requests.is_out_of_memory() => {
+                        reject_head(socket);
+                        true
+                    }
                     Err(error) => error.is_parse(),
                 },
-                () = client_disconnected(socket, connection) => return false,
+                () = client_disconnected(connection) => return false,
                 () = connection.close.notified() => {
                     // Closing now would lose a request that has arrived but was not read yet: it is served first.
                     if connection.busy.get() || socket.is_idle() {
@@ -88,16 +97,11 @@
         }
     }
 
-    async fn serve_request(
-        &self,
-        request: Request<Incoming>,
-        socket: &Socket,
-        connection: &Rc<Connection>,
-    ) -> Reply {
+    async fn serve_request(&self, request: Request<Incoming>, connection: &Rc<Connection>) -> Reply {
         let is_first = !connection.used.replace(true);
         let accepted_at = is_first.then(|| connection.state_since.get());
         let _busy = BusyGuard::new(connection.clone());
-        let reply = self.respond(request, socket, connection, accepted_at).await;
+        let reply = self.respond(request, connection, accepted_at).await;
         connection.close_announced.set(reply.headers().contains_key(CONNECTION));
         reply
     }
@@ -106,43 +110,45 @@
     async fn respond(
         &self,
         request: Request<Incoming>,
-        socket: &Socket,
         connection: &Connection,
         accepted_at: Option<Instant>,
     ) -> Reply {
-        let body_size = request.body().size_hint().exact();
-        let framing = connection.requests.begin_body(body_size);
-        let mut reply = if let Err(error) = framing {
-            reply::not_admitted(error)
-        } else if request.uri().path() == "/up" {
-            reply::readiness(request.method(), self.ready.get() && !self.draining.get())
-        } else {
-            let result = self.handle(request, connection, accepted_at).await;
-            result.unwrap_or_else(reply::not_admitted)
+        let requests = &connection.requests;
+        let mut reply = match requests.begin_body(request.body().size_hint().exact()) {
+            Err(error) => reply::not_admitted(error),
+            Ok(_) if request.uri().path() == "/up" => {
+                reply::readiness(request.method(), self.ready.get() && !self.draining.get())
+            }
+            Ok(head_memory) => {
+                let result = self.handle(request, head_memory, connection, accepted_at).await;
+                result.unwrap_or_else(reply::not_admitted)
+            }
         };
-        // Nothing behind a chunked body is read as a request. The connection also closes if bytes were dropped that
-        // arrived behind the request.
-        let is_last = body_size.is_none() || socket.is_overrun() || connection.close_after_reply.get();
-        if is_last || self.draining.get() {
+        if requests.is_last_request() || connection.close_after_reply.get() || self.draining.get() {
             reply::close_connection(&mut reply);
         }
+        requests.end_request();
         reply
     }
 }
 
-/// Completes when the client disconnects while its request waits for an answer.
-///
-/// hyper does not detect the end of the stream behind bytes that it has not read. A client that shuts down only its
+/// Answers a head that could not be kept. hyper does not do so, since it has no part of that head.
+fn reject_head(socket: &Socket) {
+    // The reply before may have been written in part only.
+    if socket.write_progress() != WriteProgress::Partial {
+        socket.try_write(HEAD_REJECTION);
+    }
+}
+
+/// Completes when the client disconnects while its request waits for an answer. A client that shuts down only its
 /// sending side counts as disconnected too, since the two cases cannot be distinguished.
-async fn client_disconnected(socket: &Socket, connection: &Connection) {
-    poll_fn(
-        |context| {
-            if connection.awaiting_answer.get() {
-                socket.poll_closed(context)
-            } else {
-                Poll::Pending
-            }
-        },
-    )
+async fn client_disconnected(connection: &Connection) {
+    poll_fn(|context| {
+        if connection.awaiting_answer.get() {
+            connection.requests.poll_disconnected(context)
+        } else {
+            Poll::Pending
+        }
+    })
     .await;
 }
--- a/crates/daemon/src/listeners/http/mod.rs
+++ b/crates/daemon/src/listeners/http/mod.rs
@@ -4,6 +4,7 @@
 
 mod body;
 mod check_request;
+mod client_io;
 mod connection;
 mod exchange;
 mod head;
@@ -81,7 +82,7 @@
     fn start_connection(self: &Rc<Self>, stream: TcpStream) {
         let socket = Socket::new(stream);
         let number = self.next_connection.replace(self.next_connection.get() + 1);
-        let connection = Connection::new(socket.clone());
+        let connection = Connection::new(socket.clone(), self.admission.memory().clone());
         self.connections.borrow_mut().insert(number, connection.clone());
         let server = self.clone();
         tokio::task::spawn_local(async move {
--- a/crates/daemon/src/listeners/http/rejection.rs
+++ b/crates/daemon/src/listeners/http/rejection.rs
@@ -3,6 +3,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::memory::OutOfMemory;
 use hyper::StatusCode;
 use std::fmt;
 
@@ -25,7 +26,7 @@
     BodyTooLarge,
     UnreadableBody,
     BodyTimeout,
-    BodyMemoryExhausted,
+    OutOfMemory,
     TooManyOpenRequests,
     ShuttingDown,
     DuplicateId,
@@ -37,7 +38,7 @@
             Self::UnknownPath | Self::MissingTarget => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::BodyMemoryExhausted | Self::TooManyOpenRequests | Self::ShuttingDown => {
+            Self::OutOfMemory | Self::TooManyOpenRequests | Self::ShuttingDown => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::DuplicateId => StatusCode::CONFLICT,
@@ -64,7 +65,7 @@
             Self::BodyTooLarge => "the body is too large\n",
             Self::UnreadableBody => "the body cannot be read\n",
             Self::BodyTimeout => "the body came too slowly\n",
-            Self::BodyMemoryExhausted => "too much is open\n",
+            Self::OutOfMemory => "too much is open\n",
             Self::TooManyOpenRequests => "too many requests are open\n",
             Self::ShuttingDown => "ending\n",
             Self::DuplicateId => "a request with this id is open\n",
@@ -79,3 +80,9 @@
 }
 
 impl std::error::Error for RequestError {}
+
+impl From<OutOfMemory> for RequestError {
+    fn from(_: OutOfMemory) -> Self {
+        Self::OutOfMemory
+    }
+}
--- a/crates/daemon/src/listeners/http/rejection/tests.rs
+++ b/crates/daemon/src/listeners/http/rejection/tests.rs
@@ -18,7 +18,7 @@
         (RequestError::BodyTooLarge, 413, "the body is too large\n"),
         (RequestError::UnreadableBody, 400, "the body cannot be read\n"),
         (RequestError::BodyTimeout, 408, "the body came too slowly\n"),
-        (RequestError::BodyMemoryExhausted, 503, "too much is open\n"),
+        (RequestError::OutOfMemory, 503, "too much is open\n"),
         (RequestError::TooManyOpenRequests, 503, "too many requests are open\n"),
         (RequestError::ShuttingDown, 503, "ending\n"),
         (RequestError::DuplicateId, 409, "a request with this id is open\n"),
--- a/crates/daemon/src/listeners/http/request.rs
+++ b/crates/daemon/src/listeners/http/request.rs
@@ -9,12 +9,15 @@
 use super::{body, HttpServer};
 use crate::authorizer::AuthorizationRequest;
 use crate::events::{ForwardedRequest, IncomingRequest, RequestKind};
+use crate::listeners::fields::memory_of_headers;
+use crate::memory::MemoryReservation;
 use crate::upstream::headers::IDEMPOTENCY_KEY;
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{HeaderName, CONTENT_TYPE};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
 use hyper::http::request::Parts;
-use hyper::Request;
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, Request};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -34,22 +37,26 @@
     pub(super) async fn handle(
         &self,
         request: Request<Incoming>,
+        mut head_memory: MemoryReservation,
         connection: &Connection,
         accepted_at: Option<Instant>,
     ) -> Result<Reply, RequestError> {
         let admission = &self.admission;
         let (head, body) = request.into_parts();
         let checked = head::check(&admission.settings, &head, &body)?;
-        let size = body::reserved_size(&body)?;
-        // Held until the request is answered, so that the bodies of all open requests stay within the memory limit.
-        let _reservation = admission.reserve_body(size).ok_or(RequestError::BodyMemoryExhausted)?;
+        let forwarded = ForwardedHead::copy(&head)?;
+        // Its many small allocations are freed before the body is awaited, unless an authorizer needs them.
+        let head = admission.needs_authorization(&checked.class).then_some(head);
+        if let Some(head) = &head {
+            head_memory.grow_by(memory_of_headers(&head.headers))?;
+        }
         let body_deadline = match accepted_at {
             Some(accepted_at) => accepted_at + HEAD_TIMEOUT,
             None => Instant::now() + BODY_TIMEOUT,
         };
         // A body that is still incomplete at the shutdown deadline could become complete just as the process exits.
-        let body = admission.shutdown_deadline().limit(body::read(body, body_deadline)).await;
-        let body = body.ok_or(RequestError::ShuttingDown)??;
+        let body = body::read(body, admission.memory(), body_deadline);
+        let body = admission.shutdown_deadline().limit(body).await.ok_or(RequestError::ShuttingDown)??;
         if admission.is_full() {
             return Err(RequestError::TooManyOpenRequests);
         }
@@ -58,8 +65,9 @@
         let deadline = admission.shutdown_deadline().cap(deadline).ok_or(RequestError::ShuttingDown)?;
         let open_id = admission.open_request_id(&checked.correlation_id);
         let _open_id = open_id.ok_or(RequestError::DuplicateId)?;
-        let request = incoming_request(&head, checked, body, deadline)?;
-        let build = || build_check_request(&head, size);
+        let body_size = body.len();
+        let request = incoming_request(forwarded, checked, body, deadline);
+        let build = || head.as_ref().map(|head| build_check_request(head, body_size)).unwrap_or_default();
         let authorization = AuthorizationRequest { build: &build, via: &[], deadline };
         connection.awaiting_answer.set(true);
         let (answer, changes) = admission.answer(request, &authorization).await;
@@ -68,30 +76,55 @@
     }
 }
 
+/// The fields of a head that are forwarded. They are copies: a part of the head would keep all of it in memory.
+struct ForwardedHead {
+    method: Method,
+    target: PathAndQuery,
+    idempotency_key: Option<HeaderValue>,
+    content_type: Option<HeaderValue>,
+    is_retry: bool,
+}
+
+impl ForwardedHead {
+    fn copy(head: &Parts) -> Result<ForwardedHead, RequestError> {
+        let target = head.uri.path_and_query().ok_or(RequestError::MissingTarget)?;
+        let copy = |name: HeaderName| head.headers.get(name).map(copy_value).transpose();
+        Ok(ForwardedHead {
+            method: head.method.clone(),
+            target: target.as_str().parse().map_err(|_| RequestError::MissingTarget)?,
+            idempotency_key: copy(IDEMPOTENCY_KEY)?,
+            content_type: copy(CONTENT_TYPE)?,
+            is_retry: head.headers.get(REPEAT).is_some_and(|value| value == "1"),
+        })
+    }
+}
+
+fn copy_value(value: &HeaderValue) -> Result<HeaderValue, RequestError> {
+    HeaderValue::from_bytes(value.as_bytes()).map_err(|_| RequestError::MalformedHeader)
+}
+
 fn incoming_request(
-    head: &Parts,
+    head: ForwardedHead,
     checked: CheckedHead,
     body: Bytes,
     deadline: Instant,
-) -> Result<IncomingRequest, RequestError> {
-    let target = head.uri.path_and_query().cloned().ok_or(RequestError::MissingTarget)?;
-    let header = |name: HeaderName| head.headers.get(name).cloned();
+) -> IncomingRequest {
     let forward = ForwardedRequest {
-        method: head.method.clone(),
-        target,
+        method: head.method,
+        target: head.target,
         correlation_id: checked.correlation_id,
-        idempotency_key: header(IDEMPOTENCY_KEY),
-        headers: header(CONTENT_TYPE).map(|value| (CONTENT_TYPE, value)).into_iter().collect(),
+        idempotency_key: head.idempotency_key,
+        headers: head.content_type.map(|value| (CONTENT_TYPE, value)).into_iter().collect(),
         body,
         deadline,
     };
-    Ok(IncomingRequest {
+    IncomingRequest {
         customer: checked.customer,
         plan: checked.plan,
         class: checked.class,
         units: checked.metering.units,
         reachable_instances: checked.metering.reachable_instances,
-        is_retry: header(REPEAT).is_some_and(|value| value == "1"),
+        is_retry: head.is_retry,
         kind: RequestKind::Forward(Rc::new(forward)),
-    })
+    }
 }
--- a/crates/daemon/src/listeners/http/request_stream.rs
+++ b/crates/daemon/src/listeners/http/request_stream.rs
@@ -2,25 +2,36 @@
 //!
 //! hyper may read past the end of a request, and removes `Content-Length` from a head that has `Transfer-Encoding` too.
 //! This stream passes on no byte behind a head before hyper has said how long its body is, and none behind the body
-//! before that body has been read. So each head is found and checked by exactly its own bytes, in whatever pieces and
-//! behind whatever other requests they were received.
+//! before the request is answered. So each head is found and checked by exactly its own bytes, in whatever pieces and
+//! behind whatever other requests they were received. What is held back is charged to the memory budget.
 
 use super::rejection::RequestError;
-use crate::upstream::socket::{Socket, SocketIo};
+use crate::memory::{MemoryBudget, MemoryReservation, ReservedBuffer};
+use crate::upstream::socket::{Socket, MAX_READ_BYTES};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use std::cell::RefCell;
-use std::io::{self, IoSlice};
-use std::pin::Pin;
+use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{ready, Context, Poll, Waker};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::ReadBuf;
 
 /// The maximum size of a request head, in bytes.
 pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// The size of hyper's read buffer. It grows for a larger head, and stays as large while the connection lasts.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
+/// What an open request may keep of its head, as a multiple of its size: hyper's buffer, and copies of some fields.
+const HEAD_MEMORY_FACTOR: usize = 2;
+/// Maximum number of bytes that are kept of what is sent behind an open request. A client that waits for its answer
+/// does not send more.
+const MAX_READ_AHEAD: usize = 32 * 1024;
+/// Number of bytes behind an open request after which the client is treated as disconnected, because it keeps sending
+/// without waiting for an answer.
+const MAX_SENT_AHEAD: usize = 1024 * 1024;
+/// Maximum number of consecutive reads before the task yields to others.
+const MAX_READS_PER_POLL: usize = 8;
 /// The maximum number of headers that hyper accepts in a request.
 const MAX_HEADERS: usize = 100;
-/// The number of bytes that are received at once while a head is incomplete.
-const RECEIVE_BYTES: usize = 4 * 1024;
 /// The longest end of a head is `\n\r\n`: a search goes on this many bytes before the bytes that are new.
 const HEAD_END_OVERLAP: usize = 2;
 const CHUNKED: &str = "chunked";
@@ -29,7 +40,7 @@
 type Framing = Result<(), RequestError>;
 
 /// What the next bytes of the stream belong to.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, PartialEq)]
 enum Position {
     /// A head that is not complete; none of it has been passed on.
     Head,
@@ -39,6 +50,8 @@
     BehindHead,
     /// A body of which this many bytes have not been passed on.
     Body { left: u64 },
+    /// Behind a body, before [`RequestStream::end_request`].
+    BehindBody,
     /// No request begins behind this point: the head is malformed or too large, or only hyper can find the end of the
     /// body. The connection ends with this request.
     LastRequest,
@@ -47,63 +60,113 @@
 struct State {
     position: Position,
     /// Bytes that were received and not passed on.
-    received: Vec<u8>,
+    received: ReservedBuffer,
+    /// The memory that hyper's read buffer takes beyond its usual size.
+    read_buffer: MemoryReservation,
+    /// How the stream ended behind the received bytes, if it did.
+    end: Option<io::Result<()>>,
     /// The number of received bytes in which no end of the head was found.
     searched: usize,
-    /// The framing of the head that was passed on last.
+    /// The size of the head that was found last.
+    head_size: usize,
+    /// The framing of that head.
     framing: Framing,
-    /// Wakes the reader once the size of the body is known.
+    /// The number of bytes that were received behind the open request.
+    sent_ahead: usize,
+    /// Whether some of these were dropped, so that what follows has a gap.
+    has_gap: bool,
+    /// Whether a head could not be kept, because the memory budget was used up.
+    out_of_memory: bool,
+    /// Wakes the reader once the next bytes may be passed on.
     reader: Option<Waker>,
+    /// Whether the request whose head was passed on last is not answered yet.
+    is_open: bool,
 }
 
 /// The requests of one client as a byte stream.
 pub(super) struct RequestStream {
     socket: Rc<Socket>,
+    memory: Arc<MemoryBudget>,
     state: RefCell<State>,
 }
 
 impl RequestStream {
-    pub(super) fn new(socket: Rc<Socket>) -> Rc<Self> {
+    pub(super) fn new(socket: Rc<Socket>, memory: Arc<MemoryBudget>) -> Rc<Self> {
         let state = State {
             position: Position::Head,
-            received: Vec::new(),
+            received: ReservedBuffer::new(memory.reservation(), 0),
+            read_buffer: memory.reservation(),
+            end: None,
             searched: 0,
+            head_size: 0,
             framing: Ok(()),
+            sent_ahead: 0,
+            has_gap: false,
+            out_of_memory: false,
             reader: None,
+            is_open: false,
         };
-        Rc::new(RequestStream { socket, state: RefCell::new(state) })
+        Rc::new(RequestStream { socket, memory, state: RefCell::new(state) })
     }
 
     /// Whether a part of a head was received, but not all of it.
     pub(super) fn has_partial_head(&self) -> bool {
         let state = self.state.borrow();
-        matches!(state.position, Position::Head) && !state.received.is_empty()
+        state.position == Position::Head && !state.received.is_empty()
     }
 
-    /// Passes on the body of the request that hyper has read the head of, and then the next head. `size` is the size of
-    /// the body, or `None` if it is chunked: another parser could find a different end of such a body, so nothing
-    /// behind it is read as a request.
+    /// Whether the stream has ended because a head could not be kept.
+    pub(super) fn is_out_of_memory(&self) -> bool {
+        self.state.borrow().out_of_memory
+    }
+
+    /// Whether the connection has to close after the open request.
+    pub(super) fn is_last_request(&self) -> bool {
+        let state = self.state.borrow();
+        state.position == Position::LastRequest || state.has_gap
+    }
+
+    /// Passes on the body of the request that hyper has read the head of. `size` is the size of the body, or `None` if it
+    /// is chunked: another parser could find a different end of such a body, so nothing behind it is read as a request.
+    /// Returns the memory that the request takes for its head.
     ///
     /// # Errors
-    /// The head frames its body in more than one way, or in one that is not supported.
-    pub(super) fn begin_body(&self, size: Option<u64>) -> Framing {
+    /// The head frames its body in more than one way or in one that is not supported, or there is no memory for it.
+    pub(super) fn begin_body(&self, size: Option<u64>) -> Result<MemoryReservation, RequestError> {
         let mut state = self.state.borrow_mut();
-        let Position::BehindHead = state.position else {
+        if state.position != Position::BehindHead {
             // hyper has found the end of a head where this stream has found none.
             state.position = Position::LastRequest;
             return Err(RequestError::AmbiguousLength);
-        };
+        }
+        state.is_open = true;
         state.position = match size {
             Some(left) if state.framing.is_ok() => Position::Body { left },
             _ => Position::LastRequest,
         };
-        if let Some(reader) = state.reader.take() {
-            reader.wake();
+        state.wake_reader();
+        state.framing?;
+        let head_bytes = state.head_size * HEAD_MEMORY_FACTOR;
+        if state.head_size > READ_BUFFER_BYTES {
+            state.read_buffer.grow_to(head_bytes)?;
         }
-        state.framing
+        let mut memory = self.memory.reservation();
+        memory.grow_to(head_bytes)?;
+        Ok(memory)
     }
 
-    fn poll_read(&self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    /// Passes on the next head, once the rest of the body has been passed on. Called when the reply is known.
+    pub(super) fn end_request(&self) {
+        let mut state = self.state.borrow_mut();
+        state.is_open = false;
+        state.sent_ahead = 0;
+        if state.position == Position::BehindBody {
+            state.position = Position::Head;
+            state.wake_reader();
+        }
+    }
+
+    pub(super) fn poll_read(&self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let mut state = self.state.borrow_mut();
         loop {
             match state.position {
@@ -111,12 +174,15 @@
                     if state.find_head_end() {
                         continue;
                     }
-                    let mut bytes = [0; RECEIVE_BYTES];
-                    let count = ready!(self.socket.poll_receive(cx, &mut ReadBuf::new(&mut bytes)))?;
+                    let mut bytes = [0; MAX_READ_BYTES];
+                    let count = ready!(self.poll_receive(&mut state, cx, &mut ReadBuf::new(&mut bytes)))?;
                     if count == 0 {
                         return Poll::Ready(Ok(()));
                     }
-                    state.received.extend_from_slice(&bytes[..count]);
+                    if state.received.push(&bytes[..count]).is_err() {
+                        state.out_of_memory = true;
+                        return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+                    }
                 }
                 Position::CompleteHead { left: 0 } => state.position = Position::BehindHead,
                 Position::CompleteHead { left } => {
@@ -124,10 +190,11 @@
                     state.position = Position::CompleteHead { left: left - count };
                     return Poll::Ready(Ok(()));
                 }
-                Position::BehindHead => {
+                Position::BehindHead | Position::BehindBody => {
                     state.reader = Some(cx.waker().clone());
                     return Poll::Pending;
                 }
+                Position::Body { left: 0 } if state.is_open => state.position = Position::BehindBody,
                 Position::Body { left: 0 } => state.position = Position::Head,
                 Position::Body { left } => {
                     let max = usize::try_from(left).unwrap_or(usize::MAX);
@@ -143,6 +210,42 @@
         }
     }
 
+    /// Ready once the client has closed its side or reset the connection, even if bytes before that are unread, or once
+    /// it has sent too much behind the open request. Keeps these bytes for the next request.
+    ///
+    /// hyper does not detect the end of the stream behind bytes that it has not read.
+    pub(super) fn poll_disconnected(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut state = self.state.borrow_mut();
+        let mut bytes = [0; MAX_READ_BYTES];
+        for _ in 0..MAX_READS_PER_POLL {
+            if state.end.is_some() || state.sent_ahead > MAX_SENT_AHEAD {
+                return Poll::Ready(());
+            }
+            let mut buffer = ReadBuf::new(&mut bytes);
+            match ready!(self.socket.poll_receive(cx, &mut buffer)) {
+                Ok(0) => state.end = Some(Ok(())),
+                Ok(count) => state.read_ahead(&bytes[..count]),
+                Err(error) => state.end = Some(Err(error)),
+            }
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+
+    /// Receives bytes from the socket, or how the stream ended. Returns their number; 0 at the end of the stream.
+    fn poll_receive(
+        &self,
+        state: &mut State,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<usize>> {
+        match &state.end {
+            None => self.socket.poll_receive(cx, buffer),
+            Some(Ok(())) => Poll::Ready(Ok(0)),
+            Some(Err(error)) => Poll::Ready(Err(error.kind().into())),
+        }
+    }
+
     /// Passes on up to `max` bytes, first those that were received before. Returns their number.
     fn poll_pass_on(
         &self,
@@ -156,7 +259,7 @@
         }
         let max = max.min(buffer.remaining());
         let mut limited = ReadBuf::new(buffer.initialize_unfilled_to(max));
-        let count = ready!(self.socket.poll_receive(cx, &mut limited))?;
+        let count = ready!(self.poll_receive(state, cx, &mut limited))?;
         buffer.advance(count);
         Poll::Ready(Ok(count))
     }
@@ -170,13 +273,15 @@
             return false;
         }
         // The first bytes are parsed even if they end no head, so that an error in them is found at once.
-        let new = &self.received[self.searched.saturating_sub(HEAD_END_OVERLAP)..];
+        let received = self.received.as_ref();
+        let new = &received[self.searched.saturating_sub(HEAD_END_OVERLAP)..];
         let is_candidate = self.searched == 0 || contains_empty_line(new);
-        let parsed = if is_candidate { parse_head(&self.received) } else { Ok(None) };
+        let parsed = if is_candidate { parse_head(received) } else { Ok(None) };
         self.searched = self.received.len();
         self.position = match parsed {
             Ok(Some((size, framing))) => {
                 self.framing = framing;
+                self.head_size = size;
                 self.searched = 0;
                 Position::CompleteHead { left: size }
             }
@@ -190,13 +295,27 @@
     /// Moves up to `max` received bytes to the buffer. Returns their number.
     fn pass_on(&mut self, max: usize, buffer: &mut ReadBuf<'_>) -> usize {
         let count = max.min(buffer.remaining()).min(self.received.len());
-        buffer.put_slice(&self.received[..count]);
-        self.received.drain(..count);
-        if self.received.is_empty() {
-            self.received = Vec::new();
-        }
+        buffer.put_slice(&self.received.as_ref()[..count]);
+        self.received.consume(count);
         count
     }
+
+    /// Keeps bytes that were received behind the open request, as far as the limits allow.
+    fn read_ahead(&mut self, bytes: &[u8]) {
+        self.sent_ahead += bytes.len();
+        // Nothing behind the last request is read as another.
+        let is_needed = !self.has_gap && self.position != Position::LastRequest;
+        if is_needed {
+            let fits = self.received.len() + bytes.len() <= MAX_READ_AHEAD;
+            self.has_gap = !fits || self.received.push(bytes).is_err();
+        }
+    }
+
+    fn wake_reader(&mut self) {
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
 }
 
 fn contains_empty_line(bytes: &[u8]) -> bool {
@@ -227,52 +346,3 @@
     }
     Ok(())
 }
-
-/// Adapts a shared [`RequestStream`] and its socket to the I/O traits, for use by hyper.
-pub(super) struct RequestIo {
-    requests: Rc<RequestStream>,
-    replies: SocketIo,
-}
-
-impl RequestIo {
-    pub(super) fn new(requests: Rc<RequestStream>) -> Self {
-        let replies = SocketIo(requests.socket.clone());
-        RequestIo { requests, replies }
-    }
-}
-
-impl AsyncRead for RequestIo {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        self.requests.poll_read(cx, buffer)
-    }
-}
-
-impl AsyncWrite for RequestIo {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.replies).poll_write(cx, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        slices: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.replies).poll_write_vectored(cx, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.replies).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.replies).poll_shutdown(cx)
-    }
-}
--- a/crates/daemon/src/listeners/mod.rs
+++ b/crates/daemon/src/listeners/mod.rs
@@ -3,7 +3,6 @@
 
 pub mod accept;
 pub mod admission;
-pub mod body_budget;
 mod fields;
 pub mod grpc;
 pub mod http;
--- a/crates/daemon/src/serve/mod.rs
+++ b/crates/daemon/src/serve/mod.rs
@@ -20,6 +20,7 @@
 use crate::listeners::admission::Admission;
 use crate::listeners::grpc;
 use crate::log::log;
+use crate::memory::MemoryBudget;
 use crate::operator::{CounterSettings, OperatorConfig};
 use crate::startup::{handle_signal, runtime};
 use crate::upstream::servers::Servers;
@@ -29,9 +30,10 @@
 use liftrouter_counter::Pacer;
 use liftrouter_decision::Settings;
 use listeners::{BoundListeners, Listeners};
-use resources::{body_budget, discovery_seed, parse_seed, SocketBudget};
+use resources::{discovery_seed, memory_budget, parse_seed, SocketBudget};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::signal::unix::{Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 
@@ -71,8 +73,9 @@
     let seed = parse_seed(&config.seed);
     let discovery_seed = discovery_seed(seed, settings.instance_index);
     let sockets = SocketBudget::new(&config.limits, &operator, &bound);
-    let servers = Rc::new(Servers::new(&settings, sockets.servers));
-    let counters = counter_pool(config.counter, operator.counter.as_ref(), &settings, seed);
+    let memory = MemoryBudget::new(memory_budget(&config.limits));
+    let servers = Rc::new(Servers::new(&settings, sockets.servers, memory.clone()));
+    let counters = counter_pool(config.counter, operator.counter.as_ref(), &settings, seed, &memory);
     let mut list = EndpointListSource::new(&mut operator, discovery, &settings, discovery_seed);
     let clients = Clients { servers: servers.clone(), counters: counters.clone() };
     let mut host = Host::new(settings.clone(), seed, events.clone(), clients);
@@ -85,7 +88,7 @@
         host = host.with_pause_detection();
     }
     let longest_deadline_s = longest_deadline_s(&settings);
-    let admission = Admission::new(events.clone(), settings, body_budget(&config.limits), authorizers);
+    let admission = Admission::new(events.clone(), settings, memory, authorizers);
 
     spawn_local(host.run());
     let cluster = cluster_node.map(|node| node.start(&servers));
@@ -121,12 +124,14 @@
     counter_settings: Option<&CounterSettings>,
     settings: &Settings,
     seed: u64,
+    memory: &Arc<MemoryBudget>,
 ) -> Rc<CounterPool> {
-    let mut clients = vec![CounterClient::new(first, settings)];
+    let client = |address| CounterClient::new(address, settings, memory.clone());
+    let mut clients = vec![client(first)];
     let mut pacer = None;
     if let Some(counter_settings) = counter_settings {
         let fallbacks = counter_settings.fallbacks.iter();
-        clients.extend(fallbacks.map(|address| CounterClient::new(Some(*address), settings)));
+        clients.extend(fallbacks.map(|address| client(Some(*address))));
         pacer = counter_settings
             .pacing(settings.instance_count)
             .map(|pacing| Pacer::new(pacing, seed_to_unit_interval(seed), 0.0));
--- a/crates/daemon/src/serve/resources.rs
+++ b/crates/daemon/src/serve/resources.rs
@@ -11,9 +11,13 @@
 const DEFAULT_SOCKETS: usize = 1_024;
 /// Memory limit if the configuration has none.
 const DEFAULT_MEMORY_MB: f64 = 32.0;
-/// Ratio of the memory limit that the bodies of open requests may use. Response bodies may need as much again, and
-/// each connection has a buffer of several kilobytes.
-const BODY_MEMORY_RATIO: f64 = 0.125;
+/// Ratio of the memory limit that everything together may use that is charged to the memory budget.
+const BUDGET_MEMORY_RATIO: f64 = 0.125;
+/// Ratio of the memory limit that connections may use beside the memory budget.
+const CONNECTION_MEMORY_RATIO: f64 = 0.5;
+/// Memory of one connection beside what it charges to the memory budget: its buffers, its task, and the free part of its
+/// reservations.
+const CONNECTION_BYTES: f64 = 20.0 * 1024.0;
 const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
 /// 2^64 divided by the golden ratio, rounded to an odd number: its multiples differ in bits of all positions.
 const SEED_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
@@ -27,7 +31,8 @@
 }
 
 impl SocketBudget {
-    /// Deducts the sockets of all other parts from the limit and divides the rest between clients and servers.
+    /// Deducts the sockets of all other parts from the limit and divides the rest, as far as there is memory for their
+    /// connections, between clients and servers.
     pub fn new(limits: &Limits, operator: &OperatorConfig, listeners: &BoundListeners) -> Self {
         let authorizers =
             operator.authorizers.iter().map(|authorizer| authorizer.max_connections).sum::<usize>();
@@ -35,15 +40,21 @@
         let counters = client::MAX_CONCURRENT_CALLS * (1 + fallback_counters);
         let reserved = RESERVED_SOCKETS + counters + listeners.grpc_sockets() + authorizers;
         // A request can hold two sockets, one to its client and one to a server.
-        let available = limits.sockets.unwrap_or(DEFAULT_SOCKETS).saturating_sub(reserved).max(2);
+        let by_descriptors = limits.sockets.unwrap_or(DEFAULT_SOCKETS).saturating_sub(reserved);
+        let by_memory = (memory_bytes(limits) * CONNECTION_MEMORY_RATIO / CONNECTION_BYTES) as usize;
+        let available = by_descriptors.min(by_memory).max(2);
         SocketBudget { clients: available - available / 2, servers: available / 2 }
     }
 }
 
-/// Maximum total size of the bodies of open requests, in bytes.
-pub(super) fn body_budget(limits: &Limits) -> usize {
-    let memory_mb = limits.memory_mb.filter(|mb| *mb > 0.0).unwrap_or(DEFAULT_MEMORY_MB);
-    (memory_mb * BODY_MEMORY_RATIO * BYTES_PER_MB) as usize
+/// Capacity of the memory budget of requests and responses, in bytes.
+pub(super) fn memory_budget(limits: &Limits) -> usize {
+    (memory_bytes(limits) * BUDGET_MEMORY_RATIO) as usize
+}
+
+/// The memory limit in bytes.
+fn memory_bytes(limits: &Limits) -> f64 {
+    limits.memory_mb.filter(|mb| *mb > 0.0).unwrap_or(DEFAULT_MEMORY_MB) * BYTES_PER_MB
 }
 
 /// Parses a seed of up to 16 hexadecimal digits. Any other text, including the empty one, is hashed to a seed.
--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -163,7 +163,7 @@
             attempt.arrives_in_time.set(discard_in_time(connection.socket(), *deadlines));
             let response_deadline = deadlines.response_deadline;
             let request = upstream_request(address, forward, attempt.inventory_version, response_deadline);
-            let result = connection.exchange(request).await;
+            let result = connection.exchange(request, &self.memory).await;
             if deadlines.has_window() {
                 let _ = connection.socket().set_unacknowledged_timeout(None);
             }
@@ -178,6 +178,8 @@
                 Err(ExchangeError::NotSent) => failed(Outcome::ConnectFailed),
                 Err(ExchangeError::Broken) => failed(Outcome::Reset),
                 Err(ExchangeError::TooLarge) => failed(Outcome::Error),
+                // The request may have run, and the server is not at fault.
+                Err(ExchangeError::OutOfMemory(_)) => failed(Outcome::Cancelled),
             };
         }
     }
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -7,8 +7,9 @@
 use super::connection_counts::ConnectionCounts;
 use super::socket::{Socket, SocketIo, WriteProgress};
 use crate::count_guard::CountGuard;
+use crate::memory::{MemoryBudget, OutOfMemory, ReservedBuffer};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -53,6 +54,9 @@
     /// The response's body is larger than [`MAX_BODY`].
     #[error("the response body exceeds {MAX_BODY} bytes")]
     TooLarge,
+    /// There is no memory for the response's body.
+    #[error("the response: {0}")]
+    OutOfMemory(#[from] OutOfMemory),
 }
 
 /// The hyper connection, which reads and writes the socket whenever it is polled.
@@ -163,7 +167,7 @@
         Ok(response)
     }
 
-    /// Sends a request and waits for the complete response. The time until the response begins is not limited, but once
+    /// Sends a request and waits for the complete response, whose body is charged to `memory`. The time until the response begins is not limited, but once
     /// begun it has to complete within `RESPONSE_TIMEOUT`.
     ///
     /// A server starts to process a request once it has received the last byte. Anything that it sends earlier, such as
@@ -174,6 +178,7 @@
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
+        memory: &Arc<MemoryBudget>,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let socket = self.socket.clone();
         if !socket.is_idle() {
@@ -183,7 +188,7 @@
         socket.reset_responded_early();
         self.unanswered_since = Some(Instant::now());
         self.has_read_all = false;
-        let result = self.receive_response(request).await;
+        let result = self.receive_response(request, memory).await;
         let result = match socket.write_progress() {
             WriteProgress::Complete if socket.responded_early() => Err(ExchangeError::Broken),
             WriteProgress::None | WriteProgress::Partial => Err(ExchangeError::NotSent),
@@ -200,6 +205,7 @@
     async fn receive_response(
         &mut self,
         mut request: Request<Full<Bytes>>,
+        memory: &Arc<MemoryBudget>,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let socket = self.socket.clone();
         socket.expect_response();
@@ -207,7 +213,7 @@
         let informational = Arc::new(AtomicBool::new(false));
         let received = informational.clone();
         hyper::ext::on_informational(&mut request, move |_| received.store(true, Ordering::Relaxed));
-        let mut response = pin!(self.complete_response(request));
+        let mut response = pin!(self.complete_response(request, memory));
         let has_begun = || {
             if informational.swap(false, Ordering::Relaxed) {
                 socket.expect_response();
@@ -235,18 +241,17 @@
     async fn complete_response(
         &mut self,
         request: Request<Full<Bytes>>,
+        memory: &Arc<MemoryBudget>,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let (head, body) = self.send_request(request).await?.into_parts();
         // Rejects a body whose declared size is too large without reading it.
         if body.size_hint().lower() > MAX_BODY as u64 {
             return Err(ExchangeError::TooLarge);
         }
-        let body = self.drive(Limited::new(body, MAX_BODY).collect()).await;
-        match body {
-            Ok(body) => Ok(Response::from_parts(head, body.to_bytes())),
-            Err(error) if error.is::<LengthLimitError>() => Err(ExchangeError::TooLarge),
-            Err(_) => Err(ExchangeError::Broken),
-        }
+        let expected = body.size_hint().exact().map_or(0, |size| size as usize);
+        let buffer = ReservedBuffer::new(memory.reservation(), expected);
+        let body = self.drive(read_body(body, buffer)).await?;
+        Ok(Response::from_parts(head, body))
     }
 
     /// Waits for a future that depends on this connection, and polls the connection meanwhile.
@@ -268,6 +273,19 @@
     }
 }
 
+/// Reads the whole body of a response.
+async fn read_body(mut body: Incoming, mut buffer: ReservedBuffer) -> Result<Bytes, ExchangeError> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| ExchangeError::Broken)?;
+        let Some(data) = frame.data_ref() else { continue };
+        if buffer.len() + data.len() > MAX_BODY {
+            return Err(ExchangeError::TooLarge);
+        }
+        buffer.push(data)?;
+    }
+    Ok(buffer.freeze())
+}
+
 /// Whether a response has one framing that all parsers understand alike. With another one the body may be a different one
 /// from what the server sent, and bytes of it may be taken for the next response.
 fn is_framed_once(headers: &HeaderMap) -> bool {
--- a/crates/daemon/src/upstream/health_check.rs
+++ b/crates/daemon/src/upstream/health_check.rs
@@ -61,7 +61,7 @@
         // The endpoint list may have changed while the connection was made.
         self.address(id).filter(|now| *now == address)?;
         let request = Request::get(LOAD_PATH).header(HOST, address.to_string());
-        let response = connection.exchange(request.body(Full::default()).ok()?).await.ok()?;
+        let response = connection.exchange(request.body(Full::default()).ok()?, &self.memory).await.ok()?;
         Some(CheckResponse { response, address, connection })
     }
 }
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -7,6 +7,5 @@
 pub mod headers;
 mod health_check;
 mod load_report;
-mod read_ahead;
 pub mod servers;
 pub mod socket;
--- a/crates/daemon/src/upstream/servers.rs
+++ b/crates/daemon/src/upstream/servers.rs
@@ -2,11 +2,13 @@
 
 use super::connection::HttpConnection;
 use super::connection_counts::ConnectionCounts;
+use crate::memory::MemoryBudget;
 use liftrouter_decision::{EndpointId, EndpointState, Settings};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -42,13 +44,14 @@
     idle_timeout: Duration,
     connections: Rc<ConnectionCounts>,
     max_sockets: usize,
+    pub(super) memory: Arc<MemoryBudget>,
     /// Maximum number of units that a request can use.
     pub(super) max_units: f64,
 }
 
 impl Servers {
-    /// Creates an empty table that opens at most `max_sockets` sockets.
-    pub fn new(settings: &Settings, max_sockets: usize) -> Self {
+    /// Creates an empty table that opens at most `max_sockets` sockets and charges response bodies to `memory`.
+    pub fn new(settings: &Settings, max_sockets: usize, memory: Arc<MemoryBudget>) -> Self {
         let or = |value: f64, default| if value > 0.0 && value.is_finite() { value } else { default };
         let server_idle_timeout_s = or(settings.idle_timeout_s, DEFAULT_IDLE_TIMEOUT_S);
         let connect_timeout_s = or(settings.connect_timeout_s, DEFAULT_CONNECT_TIMEOUT_S);
@@ -58,6 +61,7 @@
             idle_timeout: Duration::from_secs_f64(IDLE_TIMEOUT_RATIO * server_idle_timeout_s),
             connections: ConnectionCounts::new("servers"),
             max_sockets,
+            memory,
             max_units: or(settings.max_request_units, f64::MAX),
         }
     }
--- a/crates/daemon/src/upstream/socket.rs
+++ b/crates/daemon/src/upstream/socket.rs
@@ -2,7 +2,6 @@
 //!
 //! The server may have executed a request only if the request was handed to the kernel completely.
 
-use super::read_ahead::ReadAhead;
 use socket2::SockRef;
 use std::cell::{Cell, Ref, RefCell};
 use std::future::poll_fn;
@@ -17,10 +16,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Maximum number of consecutive reads before the task yields to others.
-const MAX_READS_PER_POLL: usize = 8;
-/// Size of the buffer for one read ahead, in bytes.
-const READ_AHEAD_BUFFER: usize = 4 * 1024;
+/// Maximum number of bytes that are received at once. hyper enlarges its read buffer, for as long as the connection lasts,
+/// when a read fills all of its 8 KiB.
+pub const MAX_READ_BYTES: usize = 4 * 1024;
 /// Size of the buffer for data that is discarded after a half-close, in bytes.
 const DISCARD_BUFFER: usize = 8 * 1024;
 
@@ -44,7 +42,6 @@
     is_responding: Cell<bool>,
     /// Whether the peer has sent anything while the latest message was not written completely.
     responded_early: Cell<bool>,
-    read_ahead: RefCell<ReadAhead>,
 }
 
 impl Socket {
@@ -56,7 +53,6 @@
             write_progress: Cell::new(WriteProgress::None),
             is_responding: Cell::new(false),
             responded_early: Cell::new(false),
-            read_ahead: RefCell::default(),
         })
     }
 
@@ -158,58 +154,31 @@
         let _ = timeout(max_time, discard).await;
     }
 
-    /// Ready once the peer has closed its side or reset the connection, even if data before that is unread, or once the
-    /// peer has sent too much. Reads ahead, and buffers the data for the next reader.
-    pub fn poll_closed(&self, cx: &mut Context<'_>) -> Poll<()> {
-        let mut read_ahead = self.read_ahead.borrow_mut();
-        let mut buffer = [0; READ_AHEAD_BUFFER];
-        for _ in 0..MAX_READS_PER_POLL {
-            if read_ahead.is_finished() {
-                return Poll::Ready(());
-            }
-            match ready!(self.poll_try_read(cx, &mut buffer)) {
-                Ok(0) => read_ahead.set_end(Ok(())),
-                Ok(count) => read_ahead.push(&buffer[..count]),
-                Err(error) => read_ahead.set_end(Err(error)),
-            }
-        }
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    }
-
-    /// Whether data that was read ahead had to be dropped, so that the data that follows has a gap.
-    pub fn is_overrun(&self) -> bool {
-        self.read_ahead.borrow().is_overrun()
-    }
-
     /// Whether the connection is open and has no unread data. Asks the kernel, since the runtime may not have been
     /// notified yet.
     pub fn is_idle(&self) -> bool {
-        if !self.read_ahead.borrow().is_empty() {
-            return false;
-        }
         let Ok(stream) = self.stream() else { return false };
         let mut byte = [MaybeUninit::uninit()];
         let peeked = SockRef::from(&*stream).peek(&mut byte);
         matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Receives into the unfilled part of `buffer`, first what was read ahead. Returns the number of bytes; 0 at the end
+    /// Receives into the unfilled part of `buffer`, [`MAX_READ_BYTES`] at most. Returns the number of bytes; 0 at the end
     /// of the stream.
     pub fn poll_receive(&self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<usize>> {
-        let mut read_ahead = self.read_ahead.borrow_mut();
-        if let Some(count) = read_ahead.take(buffer) {
-            self.received(buffer, count);
-            return Poll::Ready(Ok(count));
-        }
-        if let Some(end) = read_ahead.end() {
-            return Poll::Ready(end.map(|()| 0));
-        }
-        let count = ready!(self.poll_try_read(cx, buffer.initialize_unfilled()))?;
+        let max = buffer.remaining().min(MAX_READ_BYTES);
+        let count = ready!(self.poll_try_read(cx, buffer.initialize_unfilled_to(max)))?;
         self.received(buffer, count);
         Poll::Ready(Ok(count))
     }
 
+    /// Writes as much as the kernel accepts now. For a short message behind which the connection closes.
+    pub fn try_write(&self, bytes: &[u8]) {
+        if let Ok(stream) = self.stream() {
+            let _ = stream.try_write(bytes);
+        }
+    }
+
     /// Accounts for `count` bytes that were read into the unfilled part of `buffer`, and advances it.
     fn received(&self, buffer: &mut ReadBuf<'_>, count: usize) {
         self.is_responding.set(true);
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -418,12 +418,23 @@
         settings: Value,
         discovery: &Fake,
         counter: SocketAddr,
+    ) -> Limiter {
+        let limits = json!({"cores": 1.0, "memory_mb": 192, "sockets": sockets});
+        Limiter::with_limits(limits, command(), settings, discovery, counter)
+    }
+
+    /// Like [`Limiter::start`], with these resource limits in its configuration.
+    pub fn with_limits(
+        limits: Value,
+        command: Command,
+        settings: Value,
+        discovery: &Fake,
+        counter: SocketAddr,
     ) -> Limiter {
         let config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "00000000000000ff",
             "discovery": discovery.address.to_string(), "counter": counter.to_string(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "settings": settings});
+            "limits": limits, "settings": settings});
         let file = temp_file(&config.to_string());
-        let command = command();
         Limiter::spawn_until_up(command, file, config, discovery.address)
     }
 
@@ -555,6 +566,13 @@
         self.signal("-CONT");
     }
 
+    /// The most memory that the process has had resident so far, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).expect("its status");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"));
+        peak.and_then(|kilobytes| kilobytes.trim().parse::<usize>().ok()).expect("its peak") * 1024
+    }
+
     /// The number of open descriptors.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.pid())).expect("its descriptors").count()
--- /dev/null
+++ b/crates/daemon/tests/memory.rs
@@ -0,0 +1,260 @@
+//! The memory limit: whatever hundreds of clients leave open at once, the process stays below the limit of its
+//! configuration, and serves others.
+//!
+//! The kernel's socket buffers are not part of it. A build for tests takes some megabytes more than one for service.
+mod common;
+
+use common::grpc::{
+    self, call_headers, header_block, raw_frame, wire, GrpcClient, CHECK, DATA, END_HEADERS, HEADERS,
+    SETTINGS,
+};
+use common::*;
+use serde_json::json;
+use std::fmt::Write as _;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The least memory that a deployment gives a limiter, in MiB.
+const LEAST_MEMORY_MB: usize = 32;
+const LEAST_MEMORY_BYTES: usize = LEAST_MEMORY_MB * 1024 * 1024;
+/// The most descriptors that a deployment gives a limiter with that memory.
+const DESCRIPTORS: u32 = 1_024;
+/// Connections that clients open at once: as many as these descriptors allow.
+const CONNECTIONS: usize = 480;
+/// Connections and streams that the gRPC listener accepts by default.
+const GRPC_CONNECTIONS: usize = 32;
+const GRPC_STREAMS: u32 = 100;
+/// The largest body, and the largest head.
+const MAX_BODY: usize = 64 * 1024;
+const MAX_HEAD: usize = 16 * 1024;
+/// The most headers that a head may have.
+const MAX_HEADERS: usize = 100;
+/// How long the connections stay as they are, once all is written: below the time after which they are closed.
+const HOLD_TIME: Duration = Duration::from_millis(800);
+
+/// Starts a limiter with the least memory, and this server under many ids, so that it gets many requests at once.
+fn start(server: &Fake, operator: &str) -> Limiter {
+    let list = (0..64).map(|n| instance(&format!("s-{n}"), server.address, "in_service")).collect();
+    let operator = temp_file(operator);
+    let mut command = command();
+    command.arg("--operator").arg(&operator);
+    let limits = json!({"cores": 1.0, "memory_mb": LEAST_MEMORY_MB, "sockets": DESCRIPTORS});
+    let settings = settings_with_deadline(60.0);
+    let limiter = Limiter::with_limits(limits, command, settings, &discovery(list), counter().address);
+    let _ = std::fs::remove_file(operator);
+    limiter
+}
+
+/// A client that sends what it has as far as it is read, and leaves its connection open.
+struct SlowClient {
+    stream: TcpStream,
+    unsent: Vec<u8>,
+}
+
+impl SlowClient {
+    /// Reads and discards what has arrived.
+    fn read_all(&mut self) {
+        let mut discarded = [0; 8 * 1024];
+        while matches!(self.stream.read(&mut discarded), Ok(1..)) {}
+    }
+}
+
+/// Opens connections and writes to all of them at once what each sends, for as long as it is read.
+fn open_connections(address: SocketAddr, count: usize, bytes: impl Fn() -> Vec<u8>) -> Vec<SlowClient> {
+    let connect = |_| {
+        let stream = TcpStream::connect(address).expect("connect");
+        stream.set_nonblocking(true).expect("set");
+        SlowClient { stream, unsent: bytes() }
+    };
+    let mut clients: Vec<SlowClient> = (0..count).map(connect).collect();
+    write_for(&mut clients, HOLD_TIME);
+    clients
+}
+
+/// Writes what the clients have to send, as far as it is read during this time.
+fn write_for(clients: &mut [SlowClient], time: Duration) {
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        for client in &mut *clients {
+            if let Ok(written) = client.stream.write(&client.unsent) {
+                client.unsent.drain(..written);
+            }
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Checks that the limiter has stayed within its memory, and serves a client beside those that are still connected.
+fn assert_within_memory(what: &str, limiter: &Limiter) {
+    // The module may reject some requests while its server recovers from the others.
+    wait_until("another client is served", || limiter.client().ask(&quote("roomy", 60_000)).status() == 200);
+    let peak = limiter.peak_memory();
+    eprintln!("{what}: at most {} KB", peak / 1024);
+    assert!(peak < LEAST_MEMORY_BYTES, "{what}: {} KB of {} KB", peak / 1024, LEAST_MEMORY_BYTES / 1024);
+}
+
+/// What each of many HTTP clients sends, by name.
+fn http_floods() -> Vec<(&'static str, Vec<u8>)> {
+    let chunked = post("bind", "").replace("Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n");
+    let incomplete = |mut head: Vec<u8>| {
+        head.truncate(head.len() - "\r\n".len());
+        head
+    };
+    vec![
+        ("nothing", Vec::new()),
+        ("a body in tiny chunks", (chunked.clone() + &"1\r\nx\r\n".repeat(MAX_BODY - 1)).into_bytes()),
+        ("tiny chunks with extensions", (chunked + &"1;a=b\r\nx\r\n".repeat(MAX_BODY - 1)).into_bytes()),
+        ("half of a large body", post("bind", &"x".repeat(MAX_BODY)).into_bytes()[..MAX_BODY - 1].to_vec()),
+        ("a large head and a part of its body", head_with_body(MAX_HEAD - 200)),
+        ("many short headers and a part of the body", head_with_body(0)),
+        ("a large head without its end", incomplete(head(MAX_HEAD - 200))),
+        ("many short headers without their end", incomplete(head(0))),
+        ("a head without an end", head(MAX_HEAD - 200)[..MAX_HEAD - 500].to_vec()),
+    ]
+}
+
+/// A head of at least this size, with as many headers as are accepted, whose body has ten bytes.
+fn head(size: usize) -> Vec<u8> {
+    let mut head = post("bind", "").replace("Content-Length: 0\r\n", "Content-Length: 10\r\n");
+    head.truncate(head.len() - "\r\n".len());
+    let more = MAX_HEADERS + 1 - head.lines().count();
+    let value = "v".repeat((size.saturating_sub(head.len()) / more).saturating_sub("x10: \r\n".len()).max(1));
+    for n in 0..more {
+        let _ = write!(head, "x{n}: {value}\r\n");
+    }
+    (head + "\r\n").into_bytes()
+}
+
+fn head_with_body(size: usize) -> Vec<u8> {
+    [head(size), b"12345".to_vec()].concat()
+}
+
+/// Guards against a process that hundreds of clients take over its memory limit with requests that they do not
+/// complete.
+#[test]
+fn incomplete_http_requests_stay_within_the_memory_limit() {
+    for (what, bytes) in http_floods() {
+        let server = Fake::new(|_| ok("served"));
+        let limiter = start(&server, "");
+        let _clients = open_connections(limiter.address, CONNECTIONS, || bytes.clone());
+        assert_within_memory(what, &limiter);
+    }
+}
+
+/// Guards against bodies, responses and bytes behind a request that hundreds of open requests hold together.
+#[test]
+fn open_http_requests_stay_within_the_memory_limit() {
+    let large_body = "x".repeat(MAX_BODY);
+    let (gate, server) = gated_server(|_| ok("served"));
+    let limiter = start(&server, "");
+    let bytes = || [post("bind", &large_body), "y".repeat(MAX_BODY)].concat().into_bytes();
+    let clients = open_connections(limiter.address, CONNECTIONS, bytes);
+    gate.open();
+    drop(clients);
+    assert_within_memory("large bodies, and as much behind them", &limiter);
+}
+
+/// Guards against clients that request large responses and do not read them.
+#[test]
+fn unread_responses_stay_within_the_memory_limit() {
+    let large = "a".repeat(MAX_BODY);
+    let server = Fake::new(move |m| ok(if m.start_line.contains("quote") { &large } else { "" }));
+    let limiter = start(&server, "");
+    let requests = || (0..200).map(|_| quote("roomy", 60_000)).collect::<String>().into_bytes();
+    let clients = open_connections(limiter.address, CONNECTIONS, requests);
+    thread::sleep(HOLD_TIME * 2);
+    assert_within_memory("unread responses", &limiter);
+    drop(clients);
+}
+
+/// Guards against large responses that many servers send at once, and against what stays of them on connections that
+/// are kept.
+#[test]
+fn large_responses_stay_within_the_memory_limit() {
+    let large = "r".repeat(MAX_BODY);
+    let server = Fake::new(move |m| ok(if m.start_line.contains("quote") { &large } else { "" }));
+    let limiter = start(&server, "");
+    let request = || quote("roomy", 60_000).into_bytes();
+    let mut clients = open_connections(limiter.address, CONNECTIONS, request);
+    for _ in 0..4 {
+        for client in &mut clients {
+            client.read_all();
+            client.unsent.extend(request());
+        }
+        write_for(&mut clients, HOLD_TIME);
+    }
+    drop(clients);
+    assert_within_memory("large responses", &limiter);
+}
+
+/// What each of many gRPC clients sends behind its preface, by name.
+fn grpc_floods() -> Vec<(&'static str, Vec<u8>)> {
+    let streams = || (0..GRPC_STREAMS).map(|n| 2 * n + 1);
+    let names: Vec<String> = (0..440).map(|n| format!("{n:x}")).collect();
+    let many: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "")).collect();
+    let many_headers = [call_headers(CHECK), header_block(&many)].concat();
+    let call = raw_frame(HEADERS, END_HEADERS, 1, &call_headers(CHECK));
+    let on = |stream: u32, mut frame: Vec<u8>| {
+        frame[5..9].copy_from_slice(&stream.to_be_bytes());
+        frame
+    };
+    let message = [&[0, 0, 0, 0xff, 0xff][..], &[0; 16_000]].concat();
+    let tiny = raw_frame(DATA, 0, 1, &[0]);
+    vec![
+        (
+            "gRPC heads of many short headers",
+            streams().flat_map(|n| raw_frame(HEADERS, END_HEADERS, n, &many_headers)).collect(),
+        ),
+        ("a gRPC head without its end", raw_frame(HEADERS, 0, 1, &many_headers)),
+        (
+            "parts of gRPC messages",
+            streams().flat_map(|n| [on(n, call.clone()), raw_frame(DATA, 0, n, &message)].concat()).collect(),
+        ),
+        (
+            "gRPC messages in tiny frames",
+            [call.clone(), raw_frame(DATA, 0, 1, &[0, 0, 0, 0xff, 0xff]), tiny.repeat(60_000)].concat(),
+        ),
+    ]
+}
+
+/// Guards against calls that gRPC clients begin and do not complete.
+#[test]
+fn incomplete_grpc_calls_stay_within_the_memory_limit() {
+    for (what, bytes) in grpc_floods() {
+        let server = Fake::new(|_| ok("served"));
+        let limiter = start(&server, "[grpc]\nlisten = '127.0.0.1:0'\n");
+        let address = limiter.grpc.expect("a gRPC listener");
+        let preface = [wire::PREFACE, &raw_frame(SETTINGS, 0, 0, &[])].concat();
+        let clients = open_connections(address, GRPC_CONNECTIONS, || [preface.as_slice(), &bytes].concat());
+        assert_within_memory(what, &limiter);
+        drop(clients);
+        let check = grpc::check_request("quote", "roomy", 1);
+        assert!(GrpcClient::new(address).permitted(&check), "{what}");
+    }
+}
+
+/// Guards against all of these together: each listener within a limit of its own would be too much.
+#[test]
+fn all_listeners_together_stay_within_the_memory_limit() {
+    let server = Fake::new(|_| ok("served"));
+    let limiter = start(&server, "[grpc]\nlisten = '127.0.0.1:0'\n");
+    let address = limiter.grpc.expect("a gRPC listener");
+    let preface = [wire::PREFACE, &raw_frame(SETTINGS, 0, 0, &[])].concat();
+    thread::scope(|scope| {
+        for (_, bytes) in grpc_floods() {
+            let preface = &preface;
+            scope.spawn(move || {
+                open_connections(address, GRPC_CONNECTIONS / 4, || [preface.as_slice(), &bytes].concat())
+            });
+        }
+        let floods = http_floods();
+        let share = CONNECTIONS / floods.len();
+        for (_, bytes) in floods {
+            let limiter = &limiter;
+            scope.spawn(move || open_connections(limiter.address, share, || bytes.clone()));
+        }
+    });
+    assert_within_memory("all together", &limiter);
+}
--- a/crates/scale/src/run/hollow/limiter.rs
+++ b/crates/scale/src/run/hollow/limiter.rs
@@ -11,6 +11,7 @@
 use liftrouter::discovery::client::DiscoveryClient;
 use liftrouter::discovery::upstream::Upstream;
 use liftrouter::events::EventQueue;
+use liftrouter::memory::MemoryBudget;
 use liftrouter::upstream::servers::Servers;
 use liftrouter_catalog::Subscription;
 use liftrouter_decision::EndpointState;
@@ -71,10 +72,11 @@
         };
         let discovery = Rc::new(discovery);
         let upstream = discovery.upstream(ONLY_REGION).clone();
-        let keeper = CounterClient::new(Some(arguments.counter), &settings);
+        let memory = MemoryBudget::new(usize::MAX);
+        let keeper = CounterClient::new(Some(arguments.counter), &settings, memory.clone());
         let keepers = CounterPool::new(vec![keeper], None);
         // No request comes, so no connection to a server is opened.
-        let servers = Rc::new(Servers::new(&settings, 0));
+        let servers = Rc::new(Servers::new(&settings, 0, memory));
         let observed = Rc::new(Observed::new(lags));
         let keeper = ListKeeper::new(
             settings,
