--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -189,6 +189,33 @@
     assert_within_memory("large responses", &limiter);
 }
 
+/// Guards against connections that stay for ever because their client does not read its responses.
+#[test]
+fn a_client_that_reads_no_response_is_disconnected() {
+    let large = "a".repeat(MAX_BODY);
+    let server = Fake::new(move |m| ok(if m.start_line.contains("quote") { &large } else { "" }));
+    let limiter = start(&server, "");
+    let mut client = TcpStream::connect(limiter.address).expect("connect");
+    let is_held = |client: &TcpStream| {
+        let held = connections_to(client.local_addr().expect("an address"));
+        held.iter().any(|connection| connection.is_held)
+    };
+    // Until the kernel's buffers are full of responses: then the next request is not read, or its response not written.
+    for served in 0.. {
+        let _ = client.write_all(quote("roomy", 60_000).as_bytes());
+        let end = Instant::now() + HOLD_TIME;
+        while server.count() <= served && Instant::now() < end {
+            thread::sleep(Duration::from_millis(1));
+        }
+        if server.count() <= served {
+            break;
+        }
+    }
+    assert!(is_held(&client), "the limiter waits for its client");
+    wait_until("the client is disconnected", || !is_held(&client));
+    assert_eq!(limiter.client().ask(&quote("roomy", 60_000)).status(), 200);
+}
+
 /// What each of many gRPC clients sends behind its preface, by name.
 fn grpc_floods() -> Vec<(&'static str, Vec<u8>)> {
     let streams = || (0..GRPC_STREAMS).map(|n| 2 * n + 1);
