Bound the number of customers that are tracked by the memory limit

Cause: an account for each customer is kept for 60 s at least, and nothing bounded their number.

Change: the module has a largest number of customers, which the daemon derives from memory_mb. At the limit it drops accounts that a new one would not exceed (idle, bucket full, all usage reported); if there is none, requests of new customers are rejected with Retry-After, and known ones are served. Authorized calls in flight have the same limit. Below the limit no decision changes.

Also here: the stream of requests marks its end by the error alone, and does not wake its reader behind a request without a body.

--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Limits the number of customers that the module tracks.
+    pub fn with_max_customers(mut self, max_customers: usize) -> Self {
+        self.limiter.set_max_customers(max_customers);
+        self
+    }
+
     /// Handles events and timers; never returns.
     pub async fn run(mut self) {
         let events = self.events.clone();
--- a/crates/daemon/src/listeners/http/request_stream.rs
+++ b/crates/daemon/src/listeners/http/request_stream.rs
@@ -75,8 +75,6 @@
     sent_ahead: usize,
     /// Whether some of these were dropped, so that what follows has a gap.
     has_gap: bool,
-    /// Whether a head could not be kept, because the memory budget was used up.
-    out_of_memory: bool,
     /// Wakes the reader once the next bytes may be passed on.
     reader: Option<Waker>,
     /// Whether the request whose head was passed on last is not answered yet.
@@ -102,7 +100,6 @@
             framing: Ok(()),
             sent_ahead: 0,
             has_gap: false,
-            out_of_memory: false,
             reader: None,
             is_open: false,
         };
@@ -117,7 +114,7 @@
 
     /// Whether the stream has ended because a head could not be kept.
     pub(super) fn is_out_of_memory(&self) -> bool {
-        self.state.borrow().out_of_memory
+        matches!(&self.state.borrow().end, Some(Err(error)) if error.kind() == io::ErrorKind::OutOfMemory)
     }
 
     /// Whether the connection has to close after the open request.
@@ -144,7 +141,10 @@
             Some(left) if state.framing.is_ok() => Position::Body { left },
             _ => Position::LastRequest,
         };
-        state.wake_reader();
+        // Behind a request without a body there is nothing to read before its end.
+        if state.position != (Position::Body { left: 0 }) {
+            state.wake_reader();
+        }
         state.framing?;
         let head_bytes = state.head_size * HEAD_MEMORY_FACTOR;
         if state.head_size > READ_BUFFER_BYTES {
@@ -180,8 +180,7 @@
                         return Poll::Ready(Ok(()));
                     }
                     if state.received.push(&bytes[..count]).is_err() {
-                        state.out_of_memory = true;
-                        return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+                        state.end = Some(Err(io::ErrorKind::OutOfMemory.into()));
                     }
                 }
                 Position::CompleteHead { left: 0 } => state.position = Position::BehindHead,
--- a/crates/daemon/src/serve/mod.rs
+++ b/crates/daemon/src/serve/mod.rs
@@ -30,7 +30,7 @@
 use liftrouter_counter::Pacer;
 use liftrouter_decision::Settings;
 use listeners::{BoundListeners, Listeners};
-use resources::{discovery_seed, memory_budget, parse_seed, SocketBudget};
+use resources::{discovery_seed, max_customers, memory_budget, parse_seed, SocketBudget};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -78,7 +78,8 @@
     let counters = counter_pool(config.counter, operator.counter.as_ref(), &settings, seed, &memory);
     let mut list = EndpointListSource::new(&mut operator, discovery, &settings, discovery_seed);
     let clients = Clients { servers: servers.clone(), counters: counters.clone() };
-    let mut host = Host::new(settings.clone(), seed, events.clone(), clients);
+    let host = Host::new(settings.clone(), seed, events.clone(), clients);
+    let mut host = host.with_max_customers(max_customers(&config.limits, &sockets));
     let name = grpc::instance_name();
     let authorizers = Authorizers::new(operator.authorizers, name.clone());
     if let Some(CounterSettings { validation, failover, .. }) = operator.counter {
--- a/crates/daemon/src/serve/resources.rs
+++ b/crates/daemon/src/serve/resources.rs
@@ -15,6 +15,14 @@
 const BUDGET_MEMORY_RATIO: f64 = 0.125;
 /// Ratio of the memory limit that connections may use beside the memory budget.
 const CONNECTION_MEMORY_RATIO: f64 = 0.5;
+/// Memory of the program itself, with the runtime and a small endpoint list.
+const PROGRAM_BYTES: f64 = 8.0 * BYTES_PER_MB;
+/// Ratio of the memory that all else leaves that customers may use. The rest is for endpoint lists and fragmentation.
+const CUSTOMER_MEMORY_RATIO: f64 = 0.75;
+/// Ratio of the memory limit that customers may use at least.
+const MIN_CUSTOMER_MEMORY_RATIO: f64 = 1.0 / 32.0;
+/// Memory of one customer's account.
+const CUSTOMER_BYTES: f64 = 512.0;
 /// Memory of one connection beside what it charges to the memory budget: its buffers, its task, and the free part of its
 /// reservations.
 const CONNECTION_BYTES: f64 = 20.0 * 1024.0;
@@ -52,6 +60,16 @@
     (memory_bytes(limits) * BUDGET_MEMORY_RATIO) as usize
 }
 
+/// Maximum number of customers whose quotas are tracked: as many as fit into a part of the memory that the program, its
+/// connections and the memory budget leave.
+pub(super) fn max_customers(limits: &Limits, sockets: &SocketBudget) -> usize {
+    let memory = memory_bytes(limits);
+    let connections = (sockets.clients + sockets.servers) as f64 * CONNECTION_BYTES;
+    let left = memory - PROGRAM_BYTES - connections - memory * BUDGET_MEMORY_RATIO;
+    let customers = (left * CUSTOMER_MEMORY_RATIO).max(memory * MIN_CUSTOMER_MEMORY_RATIO);
+    (customers / CUSTOMER_BYTES) as usize
+}
+
 /// The memory limit in bytes.
 fn memory_bytes(limits: &Limits) -> f64 {
     limits.memory_mb.filter(|mb| *mb > 0.0).unwrap_or(DEFAULT_MEMORY_MB) * BYTES_PER_MB
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -13,6 +13,7 @@
 use std::fmt::Write as _;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,8 @@
 /// Connections and streams that the gRPC listener accepts by default.
 const GRPC_CONNECTIONS: usize = 32;
 const GRPC_STREAMS: u32 = 100;
+/// The customer of the requests that the test kit makes.
+const CUSTOMER: &str = "00000000b4d65521";
 /// The largest body, and the largest head.
 const MAX_BODY: usize = 64 * 1024;
 const MAX_HEAD: usize = 16 * 1024;
@@ -285,3 +288,28 @@
     });
     assert_within_memory("all together", &limiter);
 }
+
+/// Guards against memory that grows without end while clients send requests under ever new names. Customers that are
+/// known are served meanwhile.
+#[test]
+fn ever_new_customers_stay_within_the_memory_limit() {
+    const CLIENTS: usize = 40;
+    const NAMES_OF_EACH: usize = 1_000;
+    let server = Fake::new(|_| ok("served"));
+    let limiter = start(&server, "");
+    let rejections = AtomicUsize::new(0);
+    in_parallel(0..CLIENTS, |number| {
+        let mut client = limiter.client();
+        for name in 0..NAMES_OF_EACH {
+            let customer = format!("{:016x}", number * NAMES_OF_EACH + name);
+            let answer = client.ask(&quote("small", 9_000).replace(CUSTOMER, &customer));
+            assert!([200, 429].contains(&answer.status()), "{}", answer.start_line);
+            rejections.fetch_add(usize::from(answer.status() == 429), Ordering::SeqCst);
+            if name % 100 == 0 {
+                assert_eq!(client.ask(&quote("roomy", 9_000)).status(), 200, "a known customer");
+            }
+        }
+    });
+    eprintln!("{} of {} rejected", rejections.load(Ordering::SeqCst), CLIENTS * NAMES_OF_EACH);
+    assert_within_memory("ever new customers", &limiter);
+}
--- a/crates/decision/src/limiter.rs
+++ b/crates/decision/src/limiter.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Limits the number of customers that are tracked, and with it the memory that they take. While it is reached,
+    /// requests of new customers are rejected unless the account of another may be dropped.
+    pub fn set_max_customers(&mut self, max_customers: usize) {
+        self.requests.set_max_customers(max_customers);
+    }
+
     /// Handles one event and appends the actions that the host has to carry out, in order.
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
         // A flag, since the time cannot show it: a real clock has advanced since `new` by the first event.
--- a/crates/decision/src/quota/counter_encoding.rs
+++ b/crates/decision/src/quota/counter_encoding.rs
@@ -27,6 +27,11 @@
 }
 
 impl Usage {
+    /// Whether there is no demand.
+    pub fn is_zero(self) -> bool {
+        self.accepted == 0.0 && self.rejected == 0.0
+    }
+
     /// Encodes steps as a counter total.
     pub fn pack(self) -> f64 {
         self.accepted + self.rejected * REJECTED_STEP_VALUE
--- a/crates/decision/src/quota/customer.rs
+++ b/crates/decision/src/quota/customer.rs
@@ -14,6 +14,8 @@
 
 /// Seconds without a request after which an account may be evicted.
 const IDLE_TIMEOUT_SECONDS: f64 = 60.0;
+/// The same while a new customer needs the place of an account.
+const IDLE_TIMEOUT_WHEN_FULL_SECONDS: f64 = 1.0;
 /// Age in epochs beyond which totals are not used, even if the counter is up.
 const STALE_TOTALS_EPOCHS: f64 = 2.0;
 
@@ -98,14 +100,22 @@
 
     /// Whether the account is idle and a new one would hold no more units than it.
     pub fn is_evictable(&self, plan: &Plan, max_request_units: f64, now: f64) -> bool {
+        self.is_evictable_after(IDLE_TIMEOUT_SECONDS, plan, max_request_units, now)
+    }
+
+    /// Whether the account may make room for that of a new customer: as [`Customer::is_evictable`], but sooner, and only
+    /// if all its usage was reported.
+    pub fn is_replaceable(&self, plan: &Plan, max_request_units: f64, now: f64) -> bool {
+        self.unreported.is_zero()
+            && self.is_evictable_after(IDLE_TIMEOUT_WHEN_FULL_SECONDS, plan, max_request_units, now)
+    }
+
+    fn is_evictable_after(&self, idle_timeout_s: f64, plan: &Plan, max_request_units: f64, now: f64) -> bool {
         let idle_s = now - self.bucket.refilled_at();
         let shortfall = (plan.burst / self.reachable_instances).max(max_request_units) - self.bucket.tokens();
         let is_full = idle_s * plan.rate / self.reachable_instances >= shortfall
             && idle_s * plan.hard_limit_rate >= plan.hard_limit_burst;
         let is_limited = plan.rate.max(plan.hard_limit_rate) > 0.0;
-        !(self.call_in_flight
-            || self.in_flight > 0
-            || idle_s < IDLE_TIMEOUT_SECONDS
-            || (is_limited && !is_full))
+        !(self.call_in_flight || self.in_flight > 0 || idle_s < idle_timeout_s || (is_limited && !is_full))
     }
 }
--- a/crates/decision/src/quota/mod.rs
+++ b/crates/decision/src/quota/mod.rs
@@ -32,10 +32,17 @@
 use std::sync::Arc;
 use usage_report::CounterCall;
 
+/// Seconds between two sweeps that make room for new customers: each reads all accounts.
+const MAKE_ROOM_PERIOD_SECONDS: f64 = 0.5;
+
 /// The accounts of all customers and the state of the exchange with the counter service.
 pub struct Quota {
     started_at: f64,
     customers: BTreeMap<Arc<str>, Customer>,
+    /// Largest number of customers with an account.
+    max_customers: usize,
+    /// When accounts were last evicted to make room.
+    made_room_at: f64,
     /// Counter calls without a reply, by the counter's key.
     pending_calls: BTreeMap<String, CounterCall>,
     /// Fraction of each quota that is divided by totals; 0 if they are not used.
@@ -51,6 +58,8 @@
         Quota {
             started_at: now,
             customers: BTreeMap::new(),
+            max_customers: usize::MAX,
+            made_room_at: f64::NEG_INFINITY,
             pending_calls: BTreeMap::new(),
             usable_quota_ratio: 1.0,
             counter_health: CounterHealth::new(now),
@@ -58,20 +67,33 @@
         }
     }
 
+    /// Sets the largest number of customers with an account.
+    pub fn set_max_customers(&mut self, max_customers: usize) {
+        self.max_customers = max_customers;
+    }
+
     /// Sets the fraction of each quota that the limiters with this view of the counts may divide by demand.
     pub fn set_usable_quota_ratio(&mut self, ratio: f64) {
         self.usable_quota_ratio = ratio.clamp(0.0, 1.0);
     }
 
     /// Creates the customer's account if there is none, and updates the number of limiters that it can reach.
+    ///
+    /// # Errors
+    ///
+    /// [`QuotaExceeded`] if there is no room for another account. Without one, the customer's quota could not be kept.
     pub fn ensure_customer(
         &mut self,
-        Context { settings, now }: Context,
+        context: Context,
         id: &Arc<str>,
         plan_index: usize,
         reachable_instances: u32,
         request_units: f64,
-    ) {
+    ) -> Result<(), QuotaExceeded> {
+        let Context { settings, now } = context;
+        if self.customers.len() >= self.max_customers && !self.customers.contains_key(id) {
+            self.make_room(context)?;
+        }
         let started_at = self.started_at;
         let reachable_instances = f64::from(reachable_instances.clamp(1, settings.instance_count.max(1)));
         let customer = self.customers.entry(id.clone()).or_insert_with(|| {
@@ -85,6 +107,25 @@
             )
         });
         customer.reachable_instances = reachable_instances;
+        Ok(())
+    }
+
+    /// Evicts accounts that may be replaced, at most once in [`MAKE_ROOM_PERIOD_SECONDS`].
+    fn make_room(&mut self, Context { settings, now }: Context) -> Result<(), QuotaExceeded> {
+        if now - self.made_room_at >= MAKE_ROOM_PERIOD_SECONDS {
+            self.made_room_at = now;
+            self.customers.retain(|_, customer| {
+                !customer.is_replaceable(
+                    &settings.plans[customer.plan_index],
+                    settings.max_request_units,
+                    now,
+                )
+            });
+        }
+        if self.customers.len() >= self.max_customers {
+            return Err(QuotaExceeded { retry_after_s: MAKE_ROOM_PERIOD_SECONDS });
+        }
+        Ok(())
     }
 
     /// Draws an admitted request's units from the token bucket and the hard limit.
--- a/crates/decision/src/requests/admission.rs
+++ b/crates/decision/src/requests/admission.rs
@@ -54,7 +54,11 @@
         };
         let (customer, units) = (&request.customer, request.units.max(0.0));
         self.retry_budget.on_request();
-        self.quota.ensure_customer(context, customer, plan, request.reachable_instances, units);
+        let account = self.quota.ensure_customer(context, customer, plan, request.reachable_instances, units);
+        if let Err(exceeded) = account {
+            self.reject(context, request.id, exceeded.retry_after_s, actions);
+            return None;
+        }
         if let Err(exceeded) = self.quota.check(context, &mut self.rng, customer, units) {
             self.reject_over_quota(context, request, units, exceeded, actions);
             return None;
--- a/crates/decision/src/requests/authorization.rs
+++ b/crates/decision/src/requests/authorization.rs
@@ -12,12 +12,12 @@
 
 /// Largest number of authorized calls tracked as in flight, to bound memory: each takes about a hundred
 /// bytes, and any client can cause them.
-const MAX_AUTHORIZATIONS: usize = 100_000;
+pub(super) const MAX_AUTHORIZATIONS: usize = 100_000;
 
 impl Requests {
     /// Authorizes a direct call of a client, or rejects it.
     pub fn authorize(&mut self, context: Context, request: Request, actions: &mut Vec<Action>) {
-        let has_capacity = self.authorizations.len() < MAX_AUTHORIZATIONS;
+        let has_capacity = self.authorizations.len() < self.max_authorizations;
         if self.check_admission(context, &request, has_capacity, actions).is_none() {
             return;
         }
--- a/crates/decision/src/requests/mod.rs
+++ b/crates/decision/src/requests/mod.rs
@@ -21,6 +21,7 @@
 use crate::endpoints::EndpointSet;
 use crate::interface::{RequestId, Settings};
 use crate::quota::Quota;
+use authorization::MAX_AUTHORIZATIONS;
 use in_flight_request::InFlightRequest;
 use retry_budget::RetryBudget;
 use service_times::ServiceTimes;
@@ -37,6 +38,8 @@
     in_flight: BTreeMap<RequestId, InFlightRequest>,
     /// Customers whose authorized calls may still be in flight.
     authorizations: BTreeMap<RequestId, Arc<str>>,
+    /// Largest number of authorized calls tracked as in flight.
+    max_authorizations: usize,
 }
 
 impl Requests {
@@ -50,6 +53,13 @@
             retry_budget: RetryBudget::full(),
             in_flight: BTreeMap::new(),
             authorizations: BTreeMap::new(),
+            max_authorizations: MAX_AUTHORIZATIONS,
         }
     }
+
+    /// Sets the largest number of customers that are tracked, and with it that of authorized calls.
+    pub fn set_max_customers(&mut self, max_customers: usize) {
+        self.quota.set_max_customers(max_customers);
+        self.max_authorizations = MAX_AUTHORIZATIONS.min(max_customers);
+    }
 }
--- a/crates/decision/tests/decision/quota_accounts.rs
+++ b/crates/decision/tests/decision/quota_accounts.rs
@@ -115,3 +115,61 @@
     }
     assert_eq!(in_flight, 2, "the limit was reached");
 }
+
+/// Guards against memory that grows without end while a client sends requests under ever new names.
+#[test]
+fn new_customers_beyond_the_limit_are_rejected_until_an_account_may_be_dropped() {
+    let mut host = Host::new(settings());
+    host.limiter.set_max_customers(3);
+    for customer in ["a", "b", "c"] {
+        assert!(host.serve(customer, "plain", 1.0));
+    }
+    // Their buckets are not full yet: without its account, a customer would get its burst again.
+    let (_, actions) = host.request("d", "plain", "read", 1.0);
+    let advised = actions.iter().find_map(|action| match action {
+        Action::Reject { retry_after_s, .. } => Some(*retry_after_s),
+        _ => None,
+    });
+    assert!(advised.is_some_and(|seconds| seconds > 0.0), "{advised:?}");
+    assert!(host.serve("a", "plain", 1.0), "a known customer is served");
+    host.answer_counter_calls(|increment| (Outcome::Ok, increment));
+    assert!(host.drain_bucket("a", "plain") > 0);
+    host.now += 1.5;
+    assert!(host.serve("d", "plain", 1.0), "b and c have full buckets, and all their usage was reported");
+    assert!(host.serve("e", "plain", 1.0));
+    // The bucket of `a` was empty, and is not full again: its account is still there.
+    assert!(host.drain_bucket("a", "plain") < 10);
+    assert!(!host.serve("f", "plain", 1.0));
+}
+
+/// Guards against usage that no limiter learns of, because the account was dropped before it was reported.
+#[test]
+fn an_account_with_unreported_usage_makes_no_room() {
+    let mut host = Host::new(settings()).with_fast_counter();
+    host.limiter.set_max_customers(2);
+    assert!(host.serve("a", "plain", 1.0));
+    host.now += 0.1;
+    assert!(host.serve("a", "plain", 1.0), "within the period after a call: not reported yet");
+    host.answer_counter_calls(|increment| (Outcome::Ok, increment));
+    host.now += 30.0;
+    assert!(host.serve("warm", "plain", 0.1));
+    host.answer_counter_calls(|increment| (Outcome::Ok, increment));
+    assert!(!host.serve("b", "plain", 1.0));
+    host.now += 60.0;
+    assert!(host.serve("b", "plain", 1.0), "`warm` makes room");
+}
+
+/// Guards against a customer that gets its burst again, because its account made room too soon.
+#[test]
+fn an_account_makes_room_only_when_its_bucket_would_be_full() {
+    // One limiter's share is half a unit a second, and a burst of one unit.
+    let mut host = Host::new(Settings { instance_count: 20, has_counter: false, ..settings() });
+    host.reachable_instances = 20;
+    host.limiter.set_max_customers(1);
+    assert!(host.serve("a", "plain", 1.0));
+    // A new bucket would hold the largest request, of four units.
+    host.now += 7.0;
+    assert!(!host.serve("b", "plain", 1.0), "the bucket of `a` is full after 8 s");
+    host.now += 2.0;
+    assert!(host.serve("b", "plain", 1.0));
+}
