Serve one request of a connection before others have their turn

Cause: hyper serves 16 requests of a connection in a turn, and tokio runs 61 turns before it reads new input: about 960 requests of one client before the next byte of any other.

Change: after a request, a connection that has received more yields. A client that waits for its answers never does.

--- a/crates/daemon/src/listeners/http/request_stream.rs
+++ b/crates/daemon/src/listeners/http/request_stream.rs
@@ -77,6 +77,9 @@
     has_gap: bool,
     /// Wakes the reader once the next bytes may be passed on.
     reader: Option<Waker>,
+    /// Whether other connections get a turn before the next head: a client may send requests that are answered at once
+    /// as fast as they are read.
+    yields: bool,
     /// Whether the request whose head was passed on last is not answered yet.
     is_open: bool,
 }
@@ -101,6 +104,7 @@
             sent_ahead: 0,
             has_gap: false,
             reader: None,
+            yields: false,
             is_open: false,
         };
         Rc::new(RequestStream { socket, memory, state: RefCell::new(state) })
@@ -160,6 +164,7 @@
         let mut state = self.state.borrow_mut();
         state.is_open = false;
         state.sent_ahead = 0;
+        state.yields = !state.received.is_empty();
         if state.position == Position::BehindBody {
             state.position = Position::Head;
             state.wake_reader();
@@ -171,6 +176,10 @@
         loop {
             match state.position {
                 Position::Head => {
+                    if std::mem::take(&mut state.yields) {
+                        cx.waker().wake_by_ref();
+                        return Poll::Pending;
+                    }
                     if state.find_head_end() {
                         continue;
                     }
