Notice clients that left behind much unread before their request is forwarded

Cause: the end of a client's stream was looked for 32 KB at a time, with turns of the host and of the attempt that it had started in between.

Change: all that a client sent behind its open request is read in one turn, 1 MB at most, outside tokio's budget. The host learns of the end of the client before it starts an attempt.

--- a/crates/daemon/src/listeners/http/exchange.rs
+++ b/crates/daemon/src/listeners/http/exchange.rs
@@ -19,6 +19,7 @@
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
+use tokio::task::unconstrained;
 use tokio::time::Instant;
 
 /// The next request head must be complete within this time, counted from accept or from the previous reply. For the
@@ -143,12 +144,14 @@
 /// Completes when the client disconnects while its request waits for an answer. A client that shuts down only its
 /// sending side counts as disconnected too, since the two cases cannot be distinguished.
 async fn client_disconnected(connection: &Connection) {
-    poll_fn(|context| {
+    let disconnected = poll_fn(|context| {
         if connection.awaiting_answer.get() {
             connection.requests.poll_disconnected(context)
         } else {
             Poll::Pending
         }
-    })
-    .await;
+    });
+    // tokio would let the task yield before all has been read that the client sent behind its request: the request would
+    // be forwarded meanwhile.
+    unconstrained(disconnected).await;
 }
--- a/crates/daemon/src/listeners/http/request_stream.rs
+++ b/crates/daemon/src/listeners/http/request_stream.rs
@@ -28,8 +28,6 @@
 /// Number of bytes behind an open request after which the client is treated as disconnected, because it keeps sending
 /// without waiting for an answer.
 const MAX_SENT_AHEAD: usize = 1024 * 1024;
-/// Maximum number of consecutive reads before the task yields to others.
-const MAX_READS_PER_POLL: usize = 8;
 /// The maximum number of headers that hyper accepts in a request.
 const MAX_HEADERS: usize = 100;
 /// The longest end of a head is `\n\r\n`: a search goes on this many bytes before the bytes that are new.
@@ -221,14 +219,12 @@
     /// Ready once the client has closed its side or reset the connection, even if bytes before that are unread, or once
     /// it has sent too much behind the open request. Keeps these bytes for the next request.
     ///
+    /// Reads all that has been received in one turn, so that a request whose client has left is not forwarded meanwhile.
     /// hyper does not detect the end of the stream behind bytes that it has not read.
     pub(super) fn poll_disconnected(&self, cx: &mut Context<'_>) -> Poll<()> {
         let mut state = self.state.borrow_mut();
         let mut bytes = [0; MAX_READ_BYTES];
-        for _ in 0..MAX_READS_PER_POLL {
-            if state.end.is_some() || state.sent_ahead > MAX_SENT_AHEAD {
-                return Poll::Ready(());
-            }
+        while state.end.is_none() && state.sent_ahead <= MAX_SENT_AHEAD {
             let mut buffer = ReadBuf::new(&mut bytes);
             match ready!(self.socket.poll_receive(cx, &mut buffer)) {
                 Ok(0) => state.end = Some(Ok(())),
@@ -236,8 +232,7 @@
                 Err(error) => state.end = Some(Err(error)),
             }
         }
-        cx.waker().wake_by_ref();
-        Poll::Pending
+        Poll::Ready(())
     }
 
     /// Receives bytes from the socket, or how the stream ended. Returns their number; 0 at the end of the stream.
--- a/crates/daemon/tests/client_disconnects.rs
+++ b/crates/daemon/tests/client_disconnects.rs
@@ -161,6 +161,9 @@
     for (end, behind) in [
         (Disconnect::Close, ""),
         (Disconnect::Close, "half a line"),
+        (Disconnect::Close, &"x".repeat(60_000)),
+        (Disconnect::Close, &quote("roomy", 60_000).repeat(400)),
+        (Disconnect::Close, &"x".repeat(900_000)),
         (Disconnect::Reset, ""),
         (Disconnect::HalfClose, ""),
     ] {
