Keep a request's id registered while an attempt of it runs or may have run

Where attempts may not be cancelled, both attempts were out at once.

Cause: an id was registered while its listener waited; that wait ends when the client leaves, but the attempt goes on, or was written and may have run.

Change: the id's guard goes with the request to the host and lives as long as the request. The same id gets 409 meanwhile.

--- a/crates/daemon/src/events/mod.rs
+++ b/crates/daemon/src/events/mod.rs
@@ -6,12 +6,14 @@
 mod answer;
 mod attempt;
 mod endpoint;
+mod open_ids;
 mod queue;
 mod request;
 
 pub use answer::{Answer, DisconnectGuard, Rejection, RejectionCause};
 pub use attempt::AttemptResult;
 pub use endpoint::ListedEndpoint;
+pub use open_ids::{OpenRequestId, OpenRequestIds};
 pub use queue::{EventQueue, ReplySender};
 pub use request::{ForwardedRequest, IncomingRequest, RequestKind};
 
--- a/crates/daemon/src/events/open_ids.rs
+++ b/crates/daemon/src/events/open_ids.rs
@@ -6,6 +6,7 @@
 use hyper::header::HeaderValue;
 use std::cell::RefCell;
 use std::collections::HashSet;
+use std::rc::Rc;
 
 /// The set of request ids that are currently open.
 #[derive(Default)]
@@ -15,19 +16,19 @@
 
 impl OpenRequestIds {
     /// Registers an id as open until the returned guard is dropped; `None` if it is already open.
-    pub fn open(&self, id: &HeaderValue) -> Option<OpenRequestId<'_>> {
+    pub fn open(self: &Rc<Self>, id: &HeaderValue) -> Option<OpenRequestId> {
         let inserted = self.ids.borrow_mut().insert(id.clone());
-        inserted.then(|| OpenRequestId { open_ids: self, id: id.clone() })
+        inserted.then(|| OpenRequestId { open_ids: self.clone(), id: id.clone() })
     }
 }
 
 /// Guard that keeps a request id registered as open until it is dropped.
-pub struct OpenRequestId<'a> {
-    open_ids: &'a OpenRequestIds,
+pub struct OpenRequestId {
+    open_ids: Rc<OpenRequestIds>,
     id: HeaderValue,
 }
 
-impl Drop for OpenRequestId<'_> {
+impl Drop for OpenRequestId {
     fn drop(&mut self) {
         self.open_ids.ids.borrow_mut().remove(&self.id);
     }
--- a/crates/daemon/src/events/request.rs
+++ b/crates/daemon/src/events/request.rs
@@ -1,5 +1,6 @@
 //! A client's request, as a listener passes it to the host.
 
+use super::OpenRequestId;
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::uri::PathAndQuery;
@@ -34,6 +35,8 @@
     pub is_retry: bool,
     /// What happens once the request is admitted.
     pub kind: RequestKind,
+    /// Keeps the request's id registered as open.
+    pub open_id: OpenRequestId,
 }
 
 /// The part of a client's request that is forwarded unchanged.
--- a/crates/daemon/src/host/attempts.rs
+++ b/crates/daemon/src/host/attempts.rs
@@ -3,7 +3,7 @@
 use super::Host;
 use crate::events::{Answer, AttemptResult};
 use crate::upstream::attempt::{Attempt, AttemptDeadlines, AttemptParameters};
-use liftrouter_decision::{EndpointId, Event, RequestId};
+use liftrouter_decision::{EndpointId, Event, Outcome, RequestId};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -73,6 +73,10 @@
     pub(super) fn attempt_ended(&mut self, id: RequestId, attempt: u32, result: AttemptResult) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(running) = open.running.take_if(|running| running.number == attempt) else { return };
+        let is_written = running.attempt.is_reported() || running.attempt.is_sent();
+        let is_without_effect =
+            matches!(result.outcome, Outcome::Overloaded | Outcome::ConnectFailed | Outcome::NotSent);
+        open.may_have_run |= is_written && !is_without_effect;
         if let Some(response) = result.response {
             if let Some(reply) = open.reply.take() {
                 reply.send(Answer::Served(response));
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -4,6 +4,7 @@
 //! runs in a single task. If the outcome of an action is known at once, the resulting event does not re-enter the
 //! module: it is added to the host's `pending` queue, which is emptied before the next event of the daemon is handled.
 
+mod abandoned_ids;
 mod attempts;
 mod clock;
 mod endpoint_updates;
@@ -16,6 +17,7 @@
     Answer, AttemptResult, DisconnectGuard, EventQueue, HostEvent, Rejection, RejectionCause,
 };
 use crate::upstream::servers::Servers;
+use abandoned_ids::AbandonedIds;
 use clock::Clock;
 use liftrouter_counter::PauseDetector;
 use liftrouter_decision::{Action, EndpointId, Event, Limiter, Outcome, RequestId, Settings};
@@ -47,6 +49,7 @@
     /// Events that resulted from actions and have not been passed to the module yet.
     pending: VecDeque<Event>,
     requests: HashMap<RequestId, OpenRequest>,
+    abandoned_ids: AbandonedIds,
     timers: TimerQueue,
     max_attempts: u32,
     /// The cause that is given for rejections at present; the module does not name one.
@@ -70,6 +73,7 @@
             clients,
             pending: VecDeque::new(),
             requests: HashMap::new(),
+            abandoned_ids: AbandonedIds::default(),
             timers: TimerQueue::default(),
             rejection_cause: RejectionCause::Limit,
             inventory_version: None,
@@ -151,7 +155,9 @@
     /// Passes the timers that are due to the module. Timers that it sets meanwhile are left for the next call, even if
     /// they are due already.
     fn fire_timers(&mut self) {
-        for token in self.timers.take_due(Instant::now()) {
+        let now = Instant::now();
+        self.abandoned_ids.release_expired(now);
+        for token in self.timers.take_due(now) {
             self.dispatch(Event::Timer { token });
         }
     }
--- a/crates/daemon/src/host/requests.rs
+++ b/crates/daemon/src/host/requests.rs
@@ -3,7 +3,9 @@
 
 use super::attempts::RunningAttempt;
 use super::Host;
-use crate::events::{Answer, AttemptResult, ForwardedRequest, IncomingRequest, ReplySender, RequestKind};
+use crate::events::{
+    Answer, AttemptResult, ForwardedRequest, IncomingRequest, OpenRequestId, ReplySender, RequestKind,
+};
 use liftrouter_decision::{Event, Outcome, Request, RequestId};
 use std::rc::Rc;
 
@@ -17,6 +19,20 @@
     pub(super) attempts: u32,
     /// The attempt in flight.
     pub(super) running: Option<RunningAttempt>,
+    /// Whether an attempt was written, and is not known to have had no effect.
+    pub(super) may_have_run: bool,
+    /// Whether the client left before it was answered.
+    is_abandoned: bool,
+    /// Keeps the request's id registered as open.
+    open_id: OpenRequestId,
+}
+
+impl OpenRequest {
+    /// Marks that the client has left. Returns `false` if it was answered before.
+    fn abandon(&mut self) -> bool {
+        self.is_abandoned = self.reply.take().is_some();
+        self.is_abandoned
+    }
 }
 
 impl Host {
@@ -30,7 +46,16 @@
             RequestKind::Authorization { deadline } => (None, deadline),
         };
         let is_authorization = forward.is_none();
-        self.requests.insert(id, OpenRequest { forward, reply: Some(reply), attempts: 0, running: None });
+        let open = OpenRequest {
+            forward,
+            reply: Some(reply),
+            attempts: 0,
+            running: None,
+            may_have_run: false,
+            is_abandoned: false,
+            open_id: incoming.open_id,
+        };
+        self.requests.insert(id, open);
         let request = Request {
             id,
             customer: incoming.customer.into(),
@@ -48,7 +73,7 @@
     pub(super) fn client_disconnected(&mut self, id: RequestId) {
         // An authorization is removed from the table once it is answered, but the module still has to be notified if
         // its client never received the answer.
-        if self.requests.get_mut(&id).is_none_or(|open| open.reply.take().is_some()) {
+        if self.requests.get_mut(&id).is_none_or(OpenRequest::abandon) {
             self.dispatch(Event::ClientDisconnected { id });
             self.abort_unsent_attempt(id);
             self.run_pending();
@@ -87,9 +112,14 @@
 
     /// Removes a request if it is answered and has no attempt in flight.
     pub(super) fn remove_if_finished(&mut self, id: RequestId) {
-        if self.requests.get(&id).is_some_and(|open| open.reply.is_none() && open.running.is_none()) {
-            self.requests.remove(&id);
-            self.events.request_closed();
+        let is_finished = |open: &OpenRequest| open.reply.is_none() && open.running.is_none();
+        if !self.requests.get(&id).is_some_and(is_finished) {
+            return;
+        }
+        self.events.request_closed();
+        let Some(open) = self.requests.remove(&id) else { return };
+        if let Some(forward) = open.forward.filter(|_| open.is_abandoned && open.may_have_run) {
+            self.abandoned_ids.keep(open.open_id, forward.deadline);
         }
     }
 }
--- a/crates/daemon/src/listeners/admission.rs
+++ b/crates/daemon/src/listeners/admission.rs
@@ -3,11 +3,13 @@
 //! Holds the state that the listeners share: the limit on open requests, their ids, the memory budget for their
 //! bodies, and the authorizers that are called before a request is submitted.
 
-use super::open_ids::{OpenRequestId, OpenRequestIds};
 use super::shutdown_deadline::ShutdownDeadline;
 use crate::authorizer::{Authorization, AuthorizationRequest, Authorizer, Authorizers, Fallback};
 use crate::count_guard::CountGuard;
-use crate::events::{Answer, DisconnectGuard, EventQueue, IncomingRequest, Rejection, RequestKind};
+use crate::events::{
+    Answer, DisconnectGuard, EventQueue, IncomingRequest, OpenRequestId, OpenRequestIds, Rejection,
+    RequestKind,
+};
 use crate::memory::MemoryBudget;
 use crate::upstream::headers::RESERVED;
 use hyper::header::HeaderValue;
@@ -27,7 +29,7 @@
     pub settings: Settings,
     events: Rc<EventQueue>,
     memory: Arc<MemoryBudget>,
-    open_ids: OpenRequestIds,
+    open_ids: Rc<OpenRequestIds>,
     authorizers: Authorizers,
     /// The number of requests that wait for an authorizer. The event queue does not count them yet.
     awaiting_authorization: Cell<usize>,
@@ -57,7 +59,7 @@
             settings,
             events,
             memory,
-            open_ids: OpenRequestIds::default(),
+            open_ids: Rc::default(),
             authorizers,
             awaiting_authorization: Cell::new(0),
             unanswered: Cell::new(0),
@@ -96,7 +98,7 @@
     }
 
     /// Registers a request id as open; `None` if a request with this id is already open on any listener.
-    pub fn open_request_id(&self, id: &HeaderValue) -> Option<OpenRequestId<'_>> {
+    pub fn open_request_id(&self, id: &HeaderValue) -> Option<OpenRequestId> {
         self.open_ids.open(id)
     }
 
--- a/crates/daemon/src/listeners/grpc/authorization.rs
+++ b/crates/daemon/src/listeners/grpc/authorization.rs
@@ -75,7 +75,7 @@
         return Err(Status::new(Code::ResourceExhausted, "too many requests are open"));
     }
     let open_id = admission.open_request_id(&checked.id);
-    let _open_id =
+    let open_id =
         open_id.ok_or_else(|| Status::new(Code::AlreadyExists, "a request with this id is open"))?;
     let now = Instant::now();
     if now >= deadline {
@@ -90,6 +90,7 @@
         reachable_instances: checked.reachable_instances,
         is_retry: fields.repeat,
         kind: RequestKind::Authorization { deadline: now + checked.call_duration },
+        open_id,
     };
     let build = || check.clone();
     let authorization = AuthorizationRequest { build: &build, via: &via, deadline };
--- a/crates/daemon/src/listeners/http/request.rs
+++ b/crates/daemon/src/listeners/http/request.rs
@@ -8,7 +8,7 @@
 use super::reply::{self, Reply};
 use super::{body, HttpServer};
 use crate::authorizer::AuthorizationRequest;
-use crate::events::{ForwardedRequest, IncomingRequest, RequestKind};
+use crate::events::{ForwardedRequest, IncomingRequest, OpenRequestId, RequestKind};
 use crate::listeners::fields::memory_of_headers;
 use crate::memory::MemoryReservation;
 use crate::upstream::headers::IDEMPOTENCY_KEY;
@@ -64,9 +64,9 @@
         let deadline = Instant::now() + checked.time_left.saturating_sub(DEADLINE_MARGIN);
         let deadline = admission.shutdown_deadline().cap(deadline).ok_or(RequestError::ShuttingDown)?;
         let open_id = admission.open_request_id(&checked.correlation_id);
-        let _open_id = open_id.ok_or(RequestError::DuplicateId)?;
+        let open_id = open_id.ok_or(RequestError::DuplicateId)?;
         let body_size = body.len();
-        let request = incoming_request(forwarded, checked, body, deadline);
+        let request = incoming_request(forwarded, checked, body, deadline, open_id);
         let build = || head.as_ref().map(|head| build_check_request(head, body_size)).unwrap_or_default();
         let authorization = AuthorizationRequest { build: &build, via: &[], deadline };
         connection.awaiting_answer.set(true);
@@ -108,6 +108,7 @@
     checked: CheckedHead,
     body: Bytes,
     deadline: Instant,
+    open_id: OpenRequestId,
 ) -> IncomingRequest {
     let forward = ForwardedRequest {
         method: head.method,
@@ -126,5 +127,6 @@
         reachable_instances: checked.metering.reachable_instances,
         is_retry: head.is_retry,
         kind: RequestKind::Forward(Rc::new(forward)),
+        open_id,
     }
 }
--- a/crates/daemon/src/listeners/mod.rs
+++ b/crates/daemon/src/listeners/mod.rs
@@ -6,5 +6,4 @@
 mod fields;
 pub mod grpc;
 pub mod http;
-pub mod open_ids;
 mod shutdown_deadline;
--- a/crates/daemon/tests/client_disconnects.rs
+++ b/crates/daemon/tests/client_disconnects.rs
@@ -199,3 +199,26 @@
         );
     }
 }
+
+/// Guards against an id that runs twice: it comes again while its first attempt still runs, or has been given up and may
+/// have run, since its client has left.
+#[test]
+fn an_id_that_comes_again_after_its_client_left_is_not_run_again() {
+    in_parallel([true, false], |may_cancel| {
+        for request in [quote("roomy", 60_000), post("bind", "x"), post("once", "x")] {
+            let server = Fake::new(|_| Reply::Silence);
+            let limiter = start_limiter(long_deadlines(may_cancel), server.address);
+            let mut client = limiter.client();
+            client.send(&request);
+            wait_until("the request is sent", || server.count() == 1);
+            client.close();
+            // The limiter notices the close at once, and what it does then is not seen from outside.
+            thread::sleep(DETECTION_TIME);
+            let mut again = limiter.client();
+            again.set_read_timeout(Duration::from_secs(1));
+            again.send(&request);
+            let status = again.answer().map(|answer| answer.status());
+            assert_eq!((status, server.count()), (Some(409), 1), "may cancel: {may_cancel}, {request}");
+        }
+    });
+}
