Use no connection to an earlier process of a server that has restarted

The limiter sent the next requests over its idle connections, to the process that had gone.

Cause: idle connections were dropped when a server's address changed, not when it restarted; only the decision module read the start time.

Change: a server's process is identified by address and incarnation. Connections to an earlier one are closed, not used and not returned to the pool; an attempt that was about to use one ends unsent.

--- a/crates/daemon/src/cluster/health_checks.rs
+++ b/crates/daemon/src/cluster/health_checks.rs
@@ -128,7 +128,7 @@
         checked_at.retain(|endpoint, _| endpoints.contains(endpoint));
         for endpoint in endpoints {
             let due = checked_at.get(&endpoint).is_none_or(|at| at.elapsed() >= interval);
-            if !due || servers.address(&endpoint).is_none() || cluster.held_shard_of(&endpoint).is_none() {
+            if !due || servers.process(&endpoint).is_none() || cluster.held_shard_of(&endpoint).is_none() {
                 continue;
             }
             checked_at.insert(endpoint.clone(), Instant::now());
--- a/crates/daemon/src/host/attempts.rs
+++ b/crates/daemon/src/host/attempts.rs
@@ -52,10 +52,10 @@
             deadline
         };
         let write_deadline = response_deadline.min(self.clock.instant(send_deadline));
-        // The address and the inventory version are those of the list from which the module chose the endpoint, even if
+        // The process and the inventory version are those of the list from which the module chose the endpoint, even if
         // the list changes before the request is sent.
-        let address = self.clients.servers.address(&endpoint);
-        let attempt = Rc::new(Attempt::new(address, self.inventory_version));
+        let process = self.clients.servers.process(&endpoint);
+        let attempt = Rc::new(Attempt::new(process, self.inventory_version));
         let parameters = AttemptParameters {
             id,
             number,
--- a/crates/daemon/src/host/endpoint_updates.rs
+++ b/crates/daemon/src/host/endpoint_updates.rs
@@ -45,7 +45,8 @@
         let servers = &self.clients.servers;
         let mut withdrawn = Withdrawn::default();
         for ListedEndpoint { entry, address } in listed {
-            servers.set_status(&entry.id, ServerStatus { address: *address, state: entry.state });
+            let status = ServerStatus { address: *address, state: entry.state, started_at: entry.started_at };
+            servers.set_status(&entry.id, status);
             match entry.state {
                 EndpointState::InService => {}
                 EndpointState::Draining => drop(withdrawn.draining.insert(entry.id.clone())),
--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -3,7 +3,7 @@
 use super::answer;
 use super::connection::{ExchangeError, HttpConnection};
 use super::headers::{CORRELATION_ID, IDEMPOTENCY_KEY, INVENTORY, TIME_LEFT};
-use super::servers::Servers;
+use super::servers::{ServerProcess, Servers};
 use super::socket::{Socket, WriteProgress};
 use crate::events::{AttemptResult, EventQueue, ForwardedRequest, HostEvent};
 use bytes::Bytes;
@@ -24,7 +24,7 @@
 
 /// The state of a running attempt, shared between its task and the host, which may abort it.
 pub struct Attempt {
-    address: Option<SocketAddr>,
+    process: Option<ServerProcess>,
     inventory_version: Option<u64>,
     socket: RefCell<Option<Rc<Socket>>>,
     is_reported: Cell<bool>,
@@ -33,11 +33,11 @@
 }
 
 impl Attempt {
-    /// Creates an attempt at the server with this address, which is `None` if the server accepts no new requests.
+    /// Creates an attempt at this process of a server, which is `None` if the server accepts no new requests.
     /// `inventory_version` is the version of the inventory file that the server was chosen from.
-    pub fn new(address: Option<SocketAddr>, inventory_version: Option<u64>) -> Self {
+    pub fn new(process: Option<ServerProcess>, inventory_version: Option<u64>) -> Self {
         let (is_reported, arrives_in_time) = (Cell::new(false), Cell::new(false));
-        Attempt { address, inventory_version, socket: RefCell::default(), is_reported, arrives_in_time }
+        Attempt { process, inventory_version, socket: RefCell::default(), is_reported, arrives_in_time }
     }
 
     /// Closes the attempt's connection.
@@ -97,8 +97,8 @@
     pub deadlines: AttemptDeadlines,
 }
 
-/// A connection that may be reused, with the address of its server.
-type Reusable = Option<(SocketAddr, HttpConnection)>;
+/// A connection that may be reused, with the process that it leads to.
+type Reusable = Option<(ServerProcess, HttpConnection)>;
 
 /// The end of an attempt without a response; its connection is not reused.
 fn failed(outcome: Outcome) -> (AttemptResult, Reusable) {
@@ -114,8 +114,8 @@
         attempt.release();
         attempt.is_reported.set(true);
         events.push(HostEvent::AttemptEnded { id: *id, attempt: *number, result });
-        if let Some((address, connection)) = reusable {
-            self.return_connection(endpoint, address, connection).await;
+        if let Some((process, connection)) = reusable {
+            self.return_connection(endpoint, process, connection).await;
         }
     }
 
@@ -142,9 +142,11 @@
     async fn send(&self, parameters: &AttemptParameters) -> (AttemptResult, Reusable) {
         let AttemptParameters { endpoint, forward, attempt, deadlines, .. } = parameters;
         loop {
-            let Some(address) = attempt.address.filter(|at| self.address(endpoint) == Some(*at)) else {
+            let Some(process) = attempt.process.filter(|process| self.process(endpoint) == Some(*process))
+            else {
                 return failed(Outcome::ConnectFailed);
             };
+            let address = process.address;
             let idle = self.take_idle(endpoint);
             let reused = idle.is_some();
             let mut connection = match idle {
@@ -155,8 +157,9 @@
                     None => return failed(Outcome::ConnectFailed),
                 },
             };
-            // The server may have begun to drain while the connection was made; it must not receive anything new then.
-            if self.address(endpoint) != Some(address) {
+            // The server may have begun to drain while the connection was made; it must not receive anything new then. Or
+            // it may have restarted, so that the connection leads to another process.
+            if self.process(endpoint) != Some(process) {
                 return failed(Outcome::ConnectFailed);
             }
             *attempt.socket.borrow_mut() = Some(connection.socket().clone());
@@ -169,7 +172,7 @@
             }
             let unsent = connection.socket().write_progress() == WriteProgress::None;
             return match result {
-                Ok(response) => (answer::interpret(response, self.max_units), Some((address, connection))),
+                Ok(response) => (answer::interpret(response, self.max_units), Some((process, connection))),
                 // The server may have closed an idle connection at any time; this is no failure of the server.
                 Err(ExchangeError::NotSent) if reused && unsent => {
                     attempt.release();
--- a/crates/daemon/src/upstream/health_check.rs
+++ b/crates/daemon/src/upstream/health_check.rs
@@ -2,14 +2,13 @@
 
 use super::connection::HttpConnection;
 use super::load_report;
-use super::servers::Servers;
+use super::servers::{ServerProcess, Servers};
 use crate::events::{EventQueue, HostEvent};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
 use liftrouter_decision::{EndpointId, LoadReport, Outcome};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -22,7 +21,7 @@
 /// The response to a health check, and the connection that carried it.
 struct CheckResponse {
     response: Response<Bytes>,
-    address: SocketAddr,
+    process: ServerProcess,
     connection: HttpConnection,
 }
 
@@ -34,17 +33,17 @@
         id: EndpointId,
     ) -> (Outcome, LoadReport) {
         let (outcome, report, reusable) = match timeout(CHECK_TIMEOUT, self.request_load(&id)).await {
-            Ok(Some(CheckResponse { response, address, connection })) => {
+            Ok(Some(CheckResponse { response, process, connection })) => {
                 let healthy = response.status() == StatusCode::OK;
                 let outcome = if healthy { Outcome::Ok } else { Outcome::Overloaded };
-                (outcome, report_of(&response), Some((address, connection)))
+                (outcome, report_of(&response), Some((process, connection)))
             }
             Ok(None) => (Outcome::ConnectFailed, LoadReport::default(), None),
             Err(_) => (Outcome::Timeout, LoadReport::default(), None),
         };
         events.push(HostEvent::HealthChecked { endpoint: id.clone(), outcome, report });
-        if let Some((address, connection)) = reusable {
-            self.return_connection(&id, address, connection).await;
+        if let Some((process, connection)) = reusable {
+            self.return_connection(&id, process, connection).await;
         }
         (outcome, report)
     }
@@ -52,17 +51,18 @@
     /// Sends the request. Returns `None` if the server cannot be reached, accepts no new requests, or breaks the
     /// connection, or if no further socket may be opened.
     async fn request_load(&self, id: &EndpointId) -> Option<CheckResponse> {
-        let address = self.address(id)?;
+        let process = self.process(id)?;
+        let address = process.address;
         let mut connection = match self.take_idle(id) {
             Some(connection) => connection,
             None if !self.reserve_socket() => return None,
             None => self.connect(address).await?,
         };
         // The endpoint list may have changed while the connection was made.
-        self.address(id).filter(|now| *now == address)?;
+        self.process(id).filter(|now| *now == process)?;
         let request = Request::get(LOAD_PATH).header(HOST, address.to_string());
         let response = connection.exchange(request.body(Full::default()).ok()?, &self.memory).await.ok()?;
-        Some(CheckResponse { response, address, connection })
+        Some(CheckResponse { response, process, connection })
     }
 }
 
--- a/crates/daemon/src/upstream/servers.rs
+++ b/crates/daemon/src/upstream/servers.rs
@@ -23,16 +23,28 @@
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The address and state of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServerStatus {
     /// The address on which the server listens.
     pub address: SocketAddr,
     /// The state, which decides whether the server accepts new requests.
     pub state: EndpointState,
+    /// When the server last started; `None` if that is not known, or long ago.
+    pub started_at: Option<f64>,
+}
+
+/// Identifies one process of a server: a restart, or a new address, makes another of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerProcess {
+    /// The address on which it listens.
+    pub address: SocketAddr,
+    /// The number of restarts that the list has reported.
+    incarnation: u32,
 }
 
 struct Server {
     status: ServerStatus,
+    process: ServerProcess,
     /// Idle connections, the most recently used last.
     idle: Vec<HttpConnection>,
 }
@@ -49,6 +61,21 @@
     pub(super) max_units: f64,
 }
 
+impl Server {
+    /// Updates the status. Returns whether the server is another process now.
+    fn update(&mut self, status: ServerStatus) -> bool {
+        // A start time that is not given any more is long ago; the process is the same.
+        let has_restarted = status.started_at.is_some() && status.started_at != self.status.started_at;
+        let is_replaced = has_restarted || status.address != self.status.address;
+        if is_replaced {
+            let incarnation = self.process.incarnation.wrapping_add(1);
+            self.process = ServerProcess { address: status.address, incarnation };
+        }
+        self.status = ServerStatus { started_at: status.started_at.or(self.status.started_at), ..status };
+        is_replaced
+    }
+}
+
 impl Servers {
     /// Creates an empty table that opens at most `max_sockets` sockets and charges response bodies to `memory`.
     pub fn new(settings: &Settings, max_sockets: usize, memory: Arc<MemoryBudget>) -> Self {
@@ -66,23 +93,21 @@
         }
     }
 
-    /// Adds, updates or removes a server. Closes its idle connections if its address has changed or if it accepts no
-    /// new requests.
+    /// Adds, updates or removes a server. Closes its idle connections if it is another process now, or if it accepts no
+    /// new requests: a connection to a process that has gone may stay open, and lead nowhere or to the wrong place.
     pub fn set_status(&self, id: &EndpointId, status: ServerStatus) {
         if status.state == EndpointState::Removed {
             return self.remove(id);
         }
         let mut table = self.table.borrow_mut();
-        match table.get_mut(id) {
-            Some(server) => {
-                if server.status.address != status.address || status.state != EndpointState::InService {
-                    server.idle.clear();
-                }
-                server.status = status;
-            }
-            None => {
-                table.insert(id.clone(), Server { status, idle: Vec::new() });
-            }
+        let Some(server) = table.get_mut(id) else {
+            let process = ServerProcess { address: status.address, incarnation: 0 };
+            table.insert(id.clone(), Server { status, process, idle: Vec::new() });
+            return;
+        };
+        let is_replaced = server.update(status);
+        if is_replaced || status.state != EndpointState::InService {
+            server.idle.clear();
         }
     }
 
@@ -101,11 +126,11 @@
         self.table.borrow().keys().cloned().collect()
     }
 
-    /// The address of a server, if it accepts new requests.
-    pub fn address(&self, id: &EndpointId) -> Option<SocketAddr> {
+    /// The present process of a server, if it accepts new requests.
+    pub fn process(&self, id: &EndpointId) -> Option<ServerProcess> {
         let table = self.table.borrow();
         let server = table.get(id).filter(|server| server.status.state == EndpointState::InService);
-        server.map(|server| server.status.address)
+        server.map(|server| server.process)
     }
 
     /// Takes the most recently used idle connection that is usable and past its reuse delay. Unusable connections that
@@ -119,19 +144,19 @@
             .find(|connection| connection.is_usable() && connection.last_used.elapsed() < self.idle_timeout)
     }
 
-    /// Returns a connection to the pool once it is ready for the next request, if its server still accepts requests at
-    /// that address; closes it otherwise.
+    /// Returns a connection to the pool once it is ready for the next request, if its server still accepts requests and
+    /// is the process that it leads to; closes it otherwise.
     pub(super) async fn return_connection(
         &self,
         id: &EndpointId,
-        address: SocketAddr,
+        process: ServerProcess,
         mut connection: HttpConnection,
     ) {
         if !connection.wait_until_ready().await {
             return;
         }
         if let Some(server) = self.table.borrow_mut().get_mut(id) {
-            if server.status.address == address && server.status.state == EndpointState::InService {
+            if server.process == process && server.status.state == EndpointState::InService {
                 server.idle.push(connection);
             }
         }
--- a/crates/scale/src/run/hollow/list_keeper.rs
+++ b/crates/scale/src/run/hollow/list_keeper.rs
@@ -191,7 +191,8 @@
             held.iter().filter(|id| !named.contains(id)).for_each(|id| self.servers.remove(id));
         }
         for ListedEndpoint { entry, address } in &servers {
-            self.servers.set_status(&entry.id, ServerStatus { address: *address, state: entry.state });
+            let status = ServerStatus { address: *address, state: entry.state, started_at: entry.started_at };
+            self.servers.set_status(&entry.id, status);
         }
         let changed_at_ms: Vec<u64> = servers.iter().map(changed_at_ms).collect();
         let entries = servers.into_iter().map(|listed| listed.entry).collect();
