Pause after a failed accept on the status socket, and log few of them

What callers saw (found here): a limiter with [members] that has no descriptor left uses a whole core once somebody asks for its status.

Cause: the status socket accepted again at once after a failure that lasts. The other listeners pause, but logged each failure, 100 a second.

Change: the status socket pauses too; failures number 1, 2, 4, 8 and so on are logged.

--- a/crates/daemon/src/cluster/status.rs
+++ b/crates/daemon/src/cluster/status.rs
@@ -1,6 +1,7 @@
 //! Status queries on a Unix socket: the answer is one JSON object, after which the connection ends.
 
 use super::{ClusterError, ClusterService};
+use crate::listeners::accept::ACCEPT_PAUSE;
 use crate::log;
 use liftrouter_cluster::lease::FencingToken;
 use liftrouter_cluster::{LocalStatus, MemberStatus, Micros, Shard};
@@ -14,7 +15,7 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::UnixListener;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 #[cfg(test)]
 mod tests;
@@ -118,7 +119,11 @@
 /// Answers status queries.
 pub(super) async fn answer(cluster: Rc<ClusterService>, listener: UnixListener) {
     loop {
-        let Ok((mut stream, _)) = listener.accept().await else { continue };
+        let Ok((mut stream, _)) = listener.accept().await else {
+            // Most often because the process is out of descriptors, which would make the next attempt fail at once.
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
         let now = cluster.now();
         let report = {
             let member = cluster.member.borrow();
--- a/crates/daemon/src/listeners/accept.rs
+++ b/crates/daemon/src/listeners/accept.rs
@@ -1,6 +1,6 @@
 //! The accept loop that all listeners share. It enforces the connection limit and continues after transient errors.
 
-use crate::log::log;
+use crate::log::{log, Occurrences};
 use socket2::SockRef;
 use std::io;
 use std::time::Duration;
@@ -24,6 +24,7 @@
     is_full: impl Fn() -> bool,
     on_connection: impl Fn(TcpStream),
 ) {
+    let failures = Occurrences::default();
     loop {
         while is_full() {
             let _ = timeout(ACCEPT_PAUSE, closed.notified()).await;
@@ -31,7 +32,9 @@
         match listener.accept().await {
             Ok((stream, _)) => on_connection(stream),
             Err(error) => {
-                log(log_part, format_args!("cannot accept: {error}"));
+                if let Some(number) = failures.count() {
+                    log(log_part, format_args!("cannot accept: {error} (number {number})"));
+                }
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/daemon/tests/descriptors.rs
+++ b/crates/daemon/tests/descriptors.rs
@@ -156,3 +156,45 @@
     }
     assert!(max_open <= DESCRIPTOR_LIMIT as usize, "{max_open} open");
 }
+
+/// The processor time that the process has used so far, in seconds.
+fn processor_time_s(limiter: &Limiter) -> f64 {
+    const TICKS_PER_SECOND: f64 = 100.0;
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", limiter.pid())).expect("its state");
+    let (_, fields) = stat.rsplit_once(')').expect("its name");
+    // User and system time are fields 14 and 15 of the line, the 12th and 13th behind the name.
+    let ticks = fields.split_whitespace().skip(11).take(2).map(|ticks| ticks.parse::<f64>().expect("ticks"));
+    ticks.sum::<f64>() / TICKS_PER_SECOND
+}
+
+/// Guards against a process that ends, or turns all its time to failed accepts, once the system gives it no more
+/// descriptors: fewer than its configuration says.
+#[test]
+fn descriptors_that_are_used_up_do_not_end_or_occupy_the_process() {
+    const DESCRIPTORS_GIVEN: u32 = 48;
+    let server = Fake::new(|_| ok("served"));
+    let discovery = discovery(vec![instance("s-0", server.address, "in_service")]);
+    // The path of a socket has 108 bytes at most.
+    let status = std::env::temp_dir().join(format!("liftrouter-{}.sock", std::process::id()));
+    let operator = temp_file(&format!(
+        "[members]\nname = 'n0'\nlisten = '127.0.0.1:0'\njoin = []\nvoters = []\nask = '{}'\n",
+        status.display()
+    ));
+    let program = command();
+    let mut limited = std::process::Command::new("sh");
+    limited.args(["-c", &format!("ulimit -n {DESCRIPTORS_GIVEN}; exec \"$0\" \"$@\"")]);
+    limited.arg(program.get_program()).arg("--operator").arg(&operator);
+    let limits = serde_json::json!({"cores": 1.0, "memory_mb": 192, "sockets": 1024});
+    let limiter = Limiter::with_limits(limits, limited, settings(), &discovery, counter().address);
+    let clients: Vec<Client> = (0..60).map(|_| limiter.client()).collect();
+    wait_until("no descriptor is left", || limiter.errors().contains("cannot accept"));
+    let _query = std::os::unix::net::UnixStream::connect(&status).expect("connect");
+    let (began, before) = (Instant::now(), processor_time_s(&limiter));
+    thread::sleep(Duration::from_secs(1));
+    let share = (processor_time_s(&limiter) - before) / began.elapsed().as_secs_f64();
+    assert!(share < 0.5, "{share:.2} of a core is used while nothing can be accepted");
+    drop(clients);
+    wait_until("another client is served", || limiter.client().ask(&quote("roomy", 9_000)).status() == 200);
+    let _ = std::fs::remove_file(operator);
+    let _ = std::fs::remove_file(status);
+}
