Check the numbers of the settings that would end the process later

What callers saw (found here): a time of 1e300 in the settings ended the limiter at its start with exit code 101, a fault in the program. By reading, a negative aim-s or depth does so at a later request.

Cause: these numbers became durations and bounds unchecked.

Change: the limiter names key, value and range and does not start, exit code 1.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -12,6 +12,9 @@
 /// Environment variable with the path of the configuration file.
 const CONFIG_VARIABLE: &str = "ROUTER_CONFIG";
 
+/// The largest time, in seconds, or number of units in the settings.
+const MAX_SETTING: f64 = 1e12;
+
 /// The parsed configuration file.
 #[derive(Deserialize)]
 pub struct Config {
@@ -112,6 +115,16 @@
         /// Path of the file.
         path: String,
     },
+    /// A number in the settings is negative, or so large that it is no time.
+    #[error("{CONFIG_VARIABLE}: {path}: settings: {key} is {found}, expected 0 to {MAX_SETTING}")]
+    InvalidNumber {
+        /// Path of the file.
+        path: String,
+        /// Key of the number in the file.
+        key: &'static str,
+        /// Its value.
+        found: f64,
+    },
     /// A list in the settings is empty that needs at least one entry.
     #[error("{CONFIG_VARIABLE}: {path}: settings: no {key}")]
     EmptyList {
@@ -148,9 +161,32 @@
     if settings.plans.is_empty() {
         return Err(ConfigError::EmptyList { path, key: "tariffs" });
     }
+    let invalid = checked_numbers(&settings).find(|(_, found)| !(0.0..=MAX_SETTING).contains(found));
+    if let Some((key, found)) = invalid {
+        return Err(ConfigError::InvalidNumber { path, key, found });
+    }
     Ok(Setup { path, listen, discovery, settings, config })
 }
 
+/// The numbers of the settings that are used as bounds or durations, where an invalid one would end the process later.
+fn checked_numbers(settings: &Settings) -> impl Iterator<Item = (&'static str, f64)> + '_ {
+    let classes = settings.classes.iter().flat_map(|class| {
+        [
+            ("aim-s", class.latency_objective_s),
+            ("deadline-s", class.deadline_s),
+            ("window-s", class.deduplication_window_s),
+        ]
+    });
+    let plans =
+        settings.plans.iter().flat_map(|plan| [("depth", plan.burst), ("hard-burst", plan.hard_limit_burst)]);
+    let limits = [
+        ("connect-timeout-s", settings.connect_timeout_s),
+        ("idle-close-s", settings.idle_timeout_s),
+        ("count-limit-s", settings.counter_timeout_s),
+    ];
+    classes.chain(plans).chain(limits)
+}
+
 /// The value of an environment variable, if it is set and not empty.
 fn non_empty_variable(name: &str) -> Option<String> {
     env::var(name).ok().filter(|value| !value.is_empty())
--- a/crates/daemon/tests/start_errors.rs
+++ b/crates/daemon/tests/start_errors.rs
@@ -57,6 +57,27 @@
     assert_limiter_error(&config_with_empty("tariffs"), &[], expected);
 }
 
+/// Guards against a process that ends with a fault in the program, at its start or at some later request, because of a
+/// number in its settings.
+#[test]
+fn numbers_that_are_no_bounds_are_named() {
+    for (pointer, key, number) in [
+        ("/classes/1/aim-s", "aim-s", -0.5),
+        ("/classes/0/deadline-s", "deadline-s", -1.0),
+        ("/tariffs/1/depth", "depth", -4.0),
+        ("/limits/connect-timeout-s", "connect-timeout-s", 1e300),
+        ("/limits/idle-close-s", "idle-close-s", 1e300),
+        ("/family-info/count-limit-s", "count-limit-s", 1e300),
+    ] {
+        let mut settings = settings();
+        *settings.pointer_mut(pointer).expect("a setting") = json!(number);
+        let config = json!({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": settings});
+        let expected =
+            format!("ROUTER_CONFIG: FILE: settings: {key} is {number}, expected 0 to 1000000000000");
+        assert_limiter_error(&config.to_string(), &[], &expected);
+    }
+}
+
 #[test]
 fn a_missing_or_malformed_address_is_named() {
     let expected = "ROUTER_LISTEN is not set, and FILE names no listen";
