Answer what the memory budget refuses, and end each request for its stream

What callers saw (in the first form of the budget, by its new test): a head that could not be kept got a close and no 503, since hyper ends a connection quietly of which it has no part of a head; a body that could not be kept got its 503 and a reset behind it.

Cause: both replies left it to hyper to close.

Change: the stream writes the 503 before it ends; a 503 for memory closes with a lingering close. A request that is answered at once ends for the stream also if hyper has not looked behind it yet: a next request that is there already could have been closed over. Where a head ends and how it frames its body is a module of its own (framing.rs).

--- a/crates/daemon/src/listeners/http/exchange.rs
+++ b/crates/daemon/src/listeners/http/exchange.rs
@@ -6,7 +6,7 @@
 use super::reply::{self, Reply};
 use super::request_stream::MAX_HEAD_BYTES;
 use super::HttpServer;
-use crate::upstream::socket::{Socket, WriteProgress};
+use crate::upstream::socket::Socket;
 use hyper::body::{Body, Incoming};
 use hyper::header::CONNECTION;
 use hyper::server::conn::http1;
@@ -29,9 +29,6 @@
 /// closing it with unread bytes would reset it, and the client could lose the reply.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 const LINGER_BYTES: usize = 256 * 1024;
-/// The reply to a head for which there is no memory.
-const HEAD_REJECTION: &[u8] =
-    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 impl HttpServer {
     /// Serves a connection until it is closed.
@@ -73,11 +70,8 @@
                 // Errors are caused by the client: it disconnected, was too slow, or sent invalid HTTP and got an
                 // error reply.
                 end = http.as_mut() => return match end {
+                    _ if connection.requests.is_out_of_memory() => true,
                     Ok(()) => connection.close_announced.get(),
-                    Err(_) if connection.requests.is_out_of_memory() => {
-                        reject_head(socket);
-                        true
-                    }
                     Err(error) => error.is_parse(),
                 },
                 () = client_disconnected(connection) => return false,
@@ -133,14 +127,6 @@
     }
 }
 
-/// Answers a head that could not be kept. hyper does not do so, since it has no part of that head.
-fn reject_head(socket: &Socket) {
-    // The reply before may have been written in part only.
-    if socket.write_progress() != WriteProgress::Partial {
-        socket.try_write(HEAD_REJECTION);
-    }
-}
-
 /// Completes when the client disconnects while its request waits for an answer. A client that shuts down only its
 /// sending side counts as disconnected too, since the two cases cannot be distinguished.
 async fn client_disconnected(connection: &Connection) {
--- a/crates/daemon/src/listeners/http/mod.rs
+++ b/crates/daemon/src/listeners/http/mod.rs
@@ -7,6 +7,7 @@
 mod client_io;
 mod connection;
 mod exchange;
+mod framing;
 mod head;
 mod rejection;
 mod reply;
--- a/crates/daemon/src/listeners/http/reply.rs
+++ b/crates/daemon/src/listeners/http/reply.rs
@@ -17,7 +17,12 @@
 
 /// The reply to a request that was not admitted.
 pub(super) fn not_admitted(error: RequestError) -> Reply {
-    immediate(error.status(), error.body())
+    let mut reply = immediate(error.status(), error.body());
+    if error == RequestError::OutOfMemory {
+        // The rest of the body is not read: without a lingering close the client could lose the reply.
+        close_connection(&mut reply);
+    }
+    reply
 }
 
 /// The reply to `/up`, the readiness check.
--- a/crates/daemon/src/listeners/http/request_stream.rs
+++ b/crates/daemon/src/listeners/http/request_stream.rs
@@ -5,10 +5,10 @@
 //! before the request is answered. So each head is found and checked by exactly its own bytes, in whatever pieces and
 //! behind whatever other requests they were received. What is held back is charged to the memory budget.
 
+use super::framing::{contains_empty_line, parse_head, Framing, EMPTY_LINE_OVERLAP};
 use super::rejection::RequestError;
 use crate::memory::{MemoryBudget, MemoryReservation, ReservedBuffer};
-use crate::upstream::socket::{Socket, MAX_READ_BYTES};
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use crate::upstream::socket::{Socket, WriteProgress, MAX_READ_BYTES};
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
@@ -28,14 +28,10 @@
 /// Number of bytes behind an open request after which the client is treated as disconnected, because it keeps sending
 /// without waiting for an answer.
 const MAX_SENT_AHEAD: usize = 1024 * 1024;
-/// The maximum number of headers that hyper accepts in a request.
-const MAX_HEADERS: usize = 100;
-/// The longest end of a head is `\n\r\n`: a search goes on this many bytes before the bytes that are new.
-const HEAD_END_OVERLAP: usize = 2;
-const CHUNKED: &str = "chunked";
 
-/// How the head of a request frames its body.
-type Framing = Result<(), RequestError>;
+/// The reply to a head for which there is no memory.
+const HEAD_REJECTION: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// What the next bytes of the stream belong to.
 #[derive(Clone, Copy, PartialEq)]
@@ -163,10 +159,10 @@
         state.is_open = false;
         state.sent_ahead = 0;
         state.yields = !state.received.is_empty();
-        if state.position == Position::BehindBody {
+        if matches!(state.position, Position::BehindBody | Position::Body { left: 0 }) {
             state.position = Position::Head;
-            state.wake_reader();
         }
+        state.wake_reader();
     }
 
     pub(super) fn poll_read(&self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
@@ -187,6 +183,7 @@
                         return Poll::Ready(Ok(()));
                     }
                     if state.received.push(&bytes[..count]).is_err() {
+                        self.reject_head();
                         state.end = Some(Err(io::ErrorKind::OutOfMemory.into()));
                     }
                 }
@@ -235,6 +232,14 @@
         Poll::Ready(())
     }
 
+    /// Answers a head that cannot be kept. hyper does not do so, since it has no part of that head: it closes.
+    fn reject_head(&self) {
+        // The reply before may have been written in part only.
+        if self.socket.write_progress() != WriteProgress::Partial {
+            self.socket.try_write(HEAD_REJECTION);
+        }
+    }
+
     /// Receives bytes from the socket, or how the stream ended. Returns their number; 0 at the end of the stream.
     fn poll_receive(
         &self,
@@ -277,7 +282,7 @@
         }
         // The first bytes are parsed even if they end no head, so that an error in them is found at once.
         let received = self.received.as_ref();
-        let new = &received[self.searched.saturating_sub(HEAD_END_OVERLAP)..];
+        let new = &received[self.searched.saturating_sub(EMPTY_LINE_OVERLAP)..];
         let is_candidate = self.searched == 0 || contains_empty_line(new);
         let parsed = if is_candidate { parse_head(received) } else { Ok(None) };
         self.searched = self.received.len();
@@ -320,32 +325,3 @@
         }
     }
 }
-
-fn contains_empty_line(bytes: &[u8]) -> bool {
-    bytes.windows(2).any(|end| end == b"\n\n") || bytes.windows(3).any(|end| end == b"\n\r\n")
-}
-
-/// The size of the head that the bytes begin with, and how it frames the body; `None` if it is incomplete.
-fn parse_head(bytes: &[u8]) -> Result<Option<(usize, Framing)>, httparse::Error> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut head = httparse::Request::new(&mut headers);
-    Ok(match head.parse(bytes)? {
-        httparse::Status::Complete(size) => Some((size, check_framing(head.headers))),
-        httparse::Status::Partial => None,
-    })
-}
-
-/// Checks that a body is framed in one way that hyper and the servers understand alike.
-fn check_framing(headers: &[httparse::Header<'_>]) -> Framing {
-    let mut encodings =
-        headers.iter().filter(|header| header.name.eq_ignore_ascii_case(TRANSFER_ENCODING.as_str()));
-    let Some(encoding) = encodings.next() else { return Ok(()) };
-    if headers.iter().any(|header| header.name.eq_ignore_ascii_case(CONTENT_LENGTH.as_str())) {
-        return Err(RequestError::AmbiguousLength);
-    }
-    let is_chunked = encoding.value.trim_ascii().eq_ignore_ascii_case(CHUNKED.as_bytes());
-    if !is_chunked || encodings.next().is_some() {
-        return Err(RequestError::UnsupportedTransferEncoding);
-    }
-    Ok(())
-}
--- a/crates/daemon/tests/architecture.rs
+++ b/crates/daemon/tests/architecture.rs
@@ -5,7 +5,7 @@
 /// The folders of the repository that the page refers to by path.
 const ROOTS: [&str; 6] = ["crates/", "docs/", "deploy/", "scenarios/", "experiments/", ".ci/"];
 /// The number of alarms that the page must cover.
-const ALARMS: usize = 5;
+const ALARMS: usize = 6;
 
 fn repository() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -313,3 +313,32 @@
     eprintln!("{} of {} rejected", rejections.load(Ordering::SeqCst), CLIENTS * NAMES_OF_EACH);
     assert_within_memory("ever new customers", &limiter);
 }
+
+/// Guards against a limiter that keeps what its memory budget has no room for, and against one that no longer serves
+/// usual requests when the budget is too small for large ones.
+#[test]
+fn requests_beyond_the_memory_budget_are_rejected_and_usual_ones_served() {
+    let server = Fake::new(|_| ok("served"));
+    let discovery = discovery(vec![instance("s-0", server.address, "in_service")]);
+    let body = "x".repeat(MAX_BODY - 1);
+    let chunked = post("bind", "").replace("Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n");
+    let large_head = String::from_utf8(head_with_body(MAX_HEAD - 400)).expect("text");
+    // Of the memory limit, an eighth is the budget.
+    for (memory_mb, request) in [
+        (0.4, post("bind", &body)),
+        (0.4, format!("{chunked}{:x}\r\n{body}\r\n0\r\n\r\n", body.len())),
+        (0.2, large_head.clone()),
+        (0.1, large_head),
+    ] {
+        let limits = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": DESCRIPTORS});
+        let limiter = Limiter::with_limits(limits, command(), settings(), &discovery, counter().address);
+        let mut client = limiter.client();
+        client.send_ignoring_errors(request.as_bytes());
+        let answer =
+            client.answer().unwrap_or_else(|| panic!("no answer: {memory_mb} MB, {} bytes", request.len()));
+        assert_eq!(answer.status(), 503, "{memory_mb} MB, {} bytes", request.len());
+        for request in [quote("roomy", 9_000), post("bind", &"x".repeat(212))] {
+            assert_eq!(limiter.client().ask(&request).status(), 200, "{memory_mb} MB");
+        }
+    }
+}
