Checker: find a push on a cold node in whatever order the node took it up

Cause: a stand-in node adds up the work since its cold start in the order in which its threads take up requests, the checker by their times of arrival, and both compared the sum with the bound of the latest entry alone. Near the bound the node collapses by the one order and stands by the other; then nothing more arrives, and nobody is accused.

Change: ColdBudget keeps its entries by time, and checks every later one of them as well. So whether the bound is passed depends on the times alone, for node and checker alike. Its result is a type.

--- a/crates/stage/src/ledger/rules.rs
+++ b/crates/stage/src/ledger/rules.rs
@@ -384,17 +384,16 @@
                         continue;
                     }
                     let knew = told.get(&(*limiter, *node)) == Some(life);
-                    let Some((work, allowed, knowing)) = budget.push(entry.at, seconds(request.work), knew)
-                    else {
-                        continue;
-                    };
+                    let Some(overload) = budget.push(entry.at, seconds(request.work), knew) else { continue };
                     *pushed_over = true;
                     let start = *start;
-                    if knowing >= FALL_TOLD {
+                    if overload.told_ratio >= FALL_TOLD {
                         let what = format!(
-                            "cold s-{node} was sent {work:.2} s of work within 2 s, {:.0} % of it by limiters \
-                             that knew of its start, expected {allowed:.2} s at most",
-                            knowing * 100.0
+                            "cold s-{node} was sent {:.2} s of work within 2 s, {:.0} % of it by limiters \
+                             that knew of its start, expected {:.2} s at most",
+                            overload.work,
+                            overload.told_ratio * 100.0,
+                            overload.allowed
                         );
                         self.accuse(4, entry.at, Some(*id), what, vec![start, n]);
                     }
--- a/crates/stage/src/ledger/stores.rs
+++ b/crates/stage/src/ledger/stores.rs
@@ -45,6 +45,27 @@
     pub slack: f64,
 }
 
+/// Work that reached a node.
+#[derive(Clone, Copy, Debug)]
+struct ArrivedWork {
+    at: Micros,
+    /// In seconds.
+    work: f64,
+    /// Whether it came from one that was told of the start.
+    told: bool,
+}
+
+/// More work within a window than a cold node can stand.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Overload {
+    /// The work within the window, in seconds.
+    pub work: f64,
+    /// The work that is allowed, in seconds.
+    pub allowed: f64,
+    /// The ratio of the work that came from those that were told of the start.
+    pub told_ratio: f64,
+}
+
 /// The work that reached a node since it started cold, within the last window.
 #[derive(Clone, Debug)]
 pub struct ColdBudget {
@@ -53,8 +74,8 @@
     from: f64,
     warm_after: Micros,
     started: Micros,
-    /// Time, work in seconds, and whether it came from one that was told of the start.
-    recent: VecDeque<(Micros, f64, bool)>,
+    /// By time. Two windows are kept, so that work may be added up to a window late.
+    recent: VecDeque<ArrivedWork>,
 }
 
 impl ColdBudget {
@@ -70,23 +91,43 @@
         (self.from + (1.0 - self.from) * share).min(1.0)
     }
 
-    /// Work reaches it. If that is more than it can stand, gives the work within the window, the budget, and
-    /// the share of the work that came from those that were told.
-    pub fn push(&mut self, at: Micros, work: f64, told: bool) -> Option<(f64, f64, f64)> {
-        let warmth = self.warmth(at);
-        if warmth >= 1.0 {
+    /// Work reaches it. Returns the first overload that this makes, if any.
+    ///
+    /// Work may be added in another order than that of its times, up to a window late: a node takes up what several
+    /// connections bring as its threads come to it. Whether the budget is passed depends on the times alone.
+    pub fn push(&mut self, at: Micros, work: f64, told: bool) -> Option<Overload> {
+        if self.warmth(at) >= 1.0 {
             self.recent.clear();
             return None;
         }
-        self.recent.push_back((at, work, told));
-        while self.recent.front().is_some_and(|(t, _, _)| t + self.rule.window < at) {
+        let position = self.recent.partition_point(|arrived| arrived.at <= at);
+        self.recent.insert(position, ArrivedWork { at, work, told });
+        let overload = (position..self.recent.len()).find_map(|last| self.overload(last));
+        self.forget_old();
+        overload
+    }
+
+    /// The overload at the time of one arrival, if there is one.
+    fn overload(&self, last: usize) -> Option<Overload> {
+        let at = self.recent[last].at;
+        let first = self.recent.partition_point(|arrived| arrived.at + self.rule.window < at);
+        let window = || self.recent.range(first..=last);
+        let work: f64 = window().map(|arrived| arrived.work).sum();
+        let warm_work = self.rule.multiple * self.capacity * seconds(self.rule.window);
+        let allowed = warm_work * self.warmth(at) + self.rule.slack;
+        if work <= allowed {
+            return None;
+        }
+        let told: f64 = window().filter(|arrived| arrived.told).map(|arrived| arrived.work).sum();
+        Some(Overload { work, allowed, told_ratio: told / work })
+    }
+
+    /// Drops what no later or late work can share a window with.
+    fn forget_old(&mut self) {
+        let Some(newest) = self.recent.back().map(|arrived| arrived.at) else { return };
+        while self.recent.front().is_some_and(|arrived| arrived.at + 2 * self.rule.window < newest) {
             self.recent.pop_front();
         }
-        let all: f64 = self.recent.iter().map(|(_, w, _)| w).sum();
-        let told: f64 = self.recent.iter().filter(|(_, _, told)| *told).map(|(_, w, _)| w).sum();
-        let budget =
-            self.rule.multiple * self.capacity * warmth * seconds(self.rule.window) + self.rule.slack;
-        (all > budget).then(|| (all, budget, told / all))
     }
 }
 
@@ -110,8 +151,9 @@
         // One core at a quarter: 3 x 0.25 x 2 s are 1.5 s of work.
         let mut budget = ColdBudget::new(RULE, 1.0, 0.25, 10_000_000, 0);
         assert_eq!(budget.push(0, 1.5, true), None);
-        let (work, allowed, told) = budget.push(1, 0.5, false).expect("over the budget");
-        assert!(work == 2.0 && (allowed - 1.5).abs() < 1e-6 && told == 0.75, "{work} {allowed} {told}");
+        let overload = budget.push(1, 0.5, false).expect("over the budget");
+        assert!(overload.work == 2.0 && overload.told_ratio == 0.75, "{overload:?}");
+        assert!((overload.allowed - 1.5).abs() < 1e-6, "{overload:?}");
         // Later the window has passed, and the node is warmer.
         assert_eq!(budget.push(3_000_000, 1.5, true), None);
         assert_eq!(budget.push(10_000_000, 1_000.0, true), None, "a warm node takes anything");
