Accept bounds of any size in the settings; check only timeouts for their length

Change: an upper limit for the three timeouts that become durations; classes and plans are checked for negative numbers alone.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -12,8 +12,8 @@
 /// Environment variable with the path of the configuration file.
 const CONFIG_VARIABLE: &str = "ROUTER_CONFIG";
 
-/// The largest time, in seconds, or number of units in the settings.
-const MAX_SETTING: f64 = 1e12;
+/// The longest timeout in the settings, in seconds.
+const MAX_TIMEOUT_S: f64 = 1e12;
 
 /// The parsed configuration file.
 #[derive(Deserialize)]
@@ -115,9 +115,9 @@
         /// Path of the file.
         path: String,
     },
-    /// A number in the settings is negative, or so large that it is no time.
-    #[error("{CONFIG_VARIABLE}: {path}: settings: {key} is {found}, expected 0 to {MAX_SETTING}")]
-    InvalidNumber {
+    /// A number of a class or plan in the settings is negative.
+    #[error("{CONFIG_VARIABLE}: {path}: settings: {key} is {found}, expected 0 or more")]
+    NegativeNumber {
         /// Path of the file.
         path: String,
         /// Key of the number in the file.
@@ -125,6 +125,16 @@
         /// Its value.
         found: f64,
     },
+    /// A timeout in the settings is so long that it is no duration.
+    #[error("{CONFIG_VARIABLE}: {path}: settings: {key} is {found}, expected {MAX_TIMEOUT_S} at most")]
+    TimeoutTooLong {
+        /// Path of the file.
+        path: String,
+        /// Key of the timeout in the file.
+        key: &'static str,
+        /// Its value.
+        found: f64,
+    },
     /// A list in the settings is empty that needs at least one entry.
     #[error("{CONFIG_VARIABLE}: {path}: settings: no {key}")]
     EmptyList {
@@ -161,15 +171,17 @@
     if settings.plans.is_empty() {
         return Err(ConfigError::EmptyList { path, key: "tariffs" });
     }
-    let invalid = checked_numbers(&settings).find(|(_, found)| !(0.0..=MAX_SETTING).contains(found));
-    if let Some((key, found)) = invalid {
-        return Err(ConfigError::InvalidNumber { path, key, found });
+    if let Some((key, found)) = bounds(&settings).find(|(_, found)| *found < 0.0) {
+        return Err(ConfigError::NegativeNumber { path, key, found });
+    }
+    if let Some((key, found)) = timeouts(&settings).into_iter().find(|(_, found)| *found > MAX_TIMEOUT_S) {
+        return Err(ConfigError::TimeoutTooLong { path, key, found });
     }
     Ok(Setup { path, listen, discovery, settings, config })
 }
 
-/// The numbers of the settings that are used as bounds or durations, where an invalid one would end the process later.
-fn checked_numbers(settings: &Settings) -> impl Iterator<Item = (&'static str, f64)> + '_ {
+/// The numbers of classes and plans that are used as bounds: a negative one would end the process later.
+fn bounds(settings: &Settings) -> impl Iterator<Item = (&'static str, f64)> + '_ {
     let classes = settings.classes.iter().flat_map(|class| {
         [
             ("aim-s", class.latency_objective_s),
@@ -179,12 +191,16 @@
     });
     let plans =
         settings.plans.iter().flat_map(|plan| [("depth", plan.burst), ("hard-burst", plan.hard_limit_burst)]);
-    let limits = [
+    classes.chain(plans)
+}
+
+/// The numbers of the settings that become durations.
+fn timeouts(settings: &Settings) -> [(&'static str, f64); 3] {
+    [
         ("connect-timeout-s", settings.connect_timeout_s),
         ("idle-close-s", settings.idle_timeout_s),
         ("count-limit-s", settings.counter_timeout_s),
-    ];
-    classes.chain(plans).chain(limits)
+    ]
 }
 
 /// The value of an environment variable, if it is set and not empty.
