Read bodies of requests and responses in one place

The next limit would have had to be written twice.

Change: crate::body reads both; its error becomes that of the caller. The listener keeps its time limit. No behaviour changes; texts of errors stay.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod authorizer;
+pub mod body;
 pub mod cli;
 pub mod cluster;
 pub mod config;
--- a/crates/daemon/src/listeners/http/mod.rs
+++ b/crates/daemon/src/listeners/http/mod.rs
@@ -2,7 +2,6 @@
 //!
 //! Malformed requests are answered here and reach neither the decision module nor a server.
 
-mod body;
 mod check_request;
 mod client_io;
 mod connection;
--- a/crates/daemon/src/listeners/http/rejection.rs
+++ b/crates/daemon/src/listeners/http/rejection.rs
@@ -3,6 +3,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::body::BodyError;
 use crate::memory::OutOfMemory;
 use hyper::StatusCode;
 use std::fmt;
@@ -86,3 +87,13 @@
         Self::OutOfMemory
     }
 }
+
+impl From<BodyError> for RequestError {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => Self::BodyTooLarge,
+            BodyError::OutOfMemory(error) => error.into(),
+            BodyError::Unreadable => Self::UnreadableBody,
+        }
+    }
+}
--- a/crates/daemon/src/listeners/http/request.rs
+++ b/crates/daemon/src/listeners/http/request.rs
@@ -6,8 +6,9 @@
 use super::head::{self, CheckedHead, REPEAT};
 use super::rejection::RequestError;
 use super::reply::{self, Reply};
-use super::{body, HttpServer};
+use super::HttpServer;
 use crate::authorizer::AuthorizationRequest;
+use crate::body;
 use crate::events::{ForwardedRequest, IncomingRequest, OpenRequestId, RequestKind};
 use crate::listeners::fields::memory_of_headers;
 use crate::memory::MemoryReservation;
@@ -20,7 +21,7 @@
 use hyper::{Method, Request};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{timeout_at, Instant};
 
 /// An answer is due this much before the client's deadline, because the reply still has to reach the client, and the
 /// client's timer started before the request arrived here.
@@ -55,8 +56,9 @@
             None => Instant::now() + BODY_TIMEOUT,
         };
         // A body that is still incomplete at the shutdown deadline could become complete just as the process exits.
-        let body = body::read(body, admission.memory(), body_deadline);
-        let body = admission.shutdown_deadline().limit(body).await.ok_or(RequestError::ShuttingDown)??;
+        let body = timeout_at(body_deadline, body::read(body, admission.memory()));
+        let body = admission.shutdown_deadline().limit(body).await.ok_or(RequestError::ShuttingDown)?;
+        let body = body.map_err(|_| RequestError::BodyTimeout)??;
         if admission.is_full() {
             return Err(RequestError::TooManyOpenRequests);
         }
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -6,11 +6,12 @@
 
 use super::connection_counts::ConnectionCounts;
 use super::socket::{Socket, SocketIo, WriteProgress};
+use crate::body::{self, BodyError, MAX_BODY_BYTES};
 use crate::count_guard::CountGuard;
-use crate::memory::{MemoryBudget, OutOfMemory, ReservedBuffer};
+use crate::memory::{MemoryBudget, OutOfMemory};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
@@ -28,8 +29,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 
-/// Maximum size of a request or response body, in bytes.
-pub const MAX_BODY: usize = 64 * 1024;
 /// Maximum size of a response head, and of the part of a body that hyper buffers, in bytes.
 const MAX_BUFFER: usize = 32 * 1024;
 /// Maximum time from the first byte of a response to its last. It leaves room for one lost packet that the kernel
@@ -51,14 +50,24 @@
     /// The connection broke, ended or carried invalid HTTP after the request was written.
     #[error("the connection broke before the response was complete")]
     Broken,
-    /// The response's body is larger than [`MAX_BODY`].
-    #[error("the response body exceeds {MAX_BODY} bytes")]
+    /// The response's body is larger than [`MAX_BODY_BYTES`].
+    #[error("the response body exceeds {MAX_BODY_BYTES} bytes")]
     TooLarge,
     /// There is no memory for the response's body.
     #[error("the response: {0}")]
     OutOfMemory(#[from] OutOfMemory),
 }
 
+impl From<BodyError> for ExchangeError {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => Self::TooLarge,
+            BodyError::OutOfMemory(error) => error.into(),
+            BodyError::Unreadable => Self::Broken,
+        }
+    }
+}
+
 /// The hyper connection, which reads and writes the socket whenever it is polled.
 struct Driver {
     connection: Pin<Box<Connection<TokioIo<SocketIo>, Full<Bytes>>>>,
@@ -167,8 +176,8 @@
         Ok(response)
     }
 
-    /// Sends a request and waits for the complete response, whose body is charged to `memory`. The time until the response begins is not limited, but once
-    /// begun it has to complete within `RESPONSE_TIMEOUT`.
+    /// Sends a request and waits for the complete response, whose body is charged to `memory`. The time until the response
+    /// begins is not limited, but once begun it has to complete within `RESPONSE_TIMEOUT`.
     ///
     /// A server starts to process a request once it has received the last byte. Anything that it sends earlier, such as
     /// a second response to the previous request, is not a response to this one and makes the exchange fail.
@@ -244,13 +253,7 @@
         memory: &Arc<MemoryBudget>,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let (head, body) = self.send_request(request).await?.into_parts();
-        // Rejects a body whose declared size is too large without reading it.
-        if body.size_hint().lower() > MAX_BODY as u64 {
-            return Err(ExchangeError::TooLarge);
-        }
-        let expected = body.size_hint().exact().map_or(0, |size| size as usize);
-        let buffer = ReservedBuffer::new(memory.reservation(), expected);
-        let body = self.drive(read_body(body, buffer)).await?;
+        let body = self.drive(body::read(body, memory)).await?;
         Ok(Response::from_parts(head, body))
     }
 
@@ -273,19 +276,6 @@
     }
 }
 
-/// Reads the whole body of a response.
-async fn read_body(mut body: Incoming, mut buffer: ReservedBuffer) -> Result<Bytes, ExchangeError> {
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| ExchangeError::Broken)?;
-        let Some(data) = frame.data_ref() else { continue };
-        if buffer.len() + data.len() > MAX_BODY {
-            return Err(ExchangeError::TooLarge);
-        }
-        buffer.push(data)?;
-    }
-    Ok(buffer.freeze())
-}
-
 /// Whether a response has one framing that all parsers understand alike. With another one the body may be a different one
 /// from what the server sent, and bytes of it may be taken for the next response.
 fn is_framed_once(headers: &HeaderMap) -> bool {
