Charge streaming gRPC calls and their responses to the memory budget

What callers saw (found here, by a new form in the test of peaks): with 32 MB, 32 gRPC connections whose 100 reflection calls each are not read took the process to 72,036 KB, over its limit. Calls with a part of a message took it to 30,912 KB. A connection whose client takes no message of a health watch or of a reflection stayed until its age limit, 600 s.

Cause: the reservation of a call ended when a streaming call began; its responses were charged to nothing, and counted as delivered. A call's message had a second reservation with 2 KB free.

Change: one reservation a call, which its task keeps until it ends; responses of a reflection are charged until they are sent; a message of a stream counts as undelivered as a unary reply does, 5 s at most.

The flood of parts of messages went over the connection's first window, so that its connections were closed at once: it sends what the window permits now, which is stricter.

--- a/crates/daemon/src/listeners/grpc/authorization.rs
+++ b/crates/daemon/src/listeners/grpc/authorization.rs
@@ -8,6 +8,7 @@
 use crate::decimal::parse_decimal;
 use crate::events::{Answer, DisconnectGuard, IncomingRequest, RejectionCause, RequestKind};
 use crate::listeners::fields::{self, MAX_ID_BYTES};
+use crate::memory::MemoryReservation;
 use crate::upstream::headers::RESERVED;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, RETRY_AFTER};
@@ -58,10 +59,11 @@
     context: &CallContext,
     headers: &HeaderMap,
     body: Incoming,
+    memory: MemoryReservation,
     received_at: Instant,
 ) -> Result<Decision, Status> {
     let deadline = parse_deadline(headers, received_at)?;
-    let (check, mut memory) = read_message::<CheckRequest>(context, headers, body, deadline).await?;
+    let (check, mut memory) = read_message::<CheckRequest>(context, headers, body, memory, deadline).await?;
     memory.grow_by(memory_of_maps(&check)).map_err(out_of_memory)?;
     let via = parse_via(headers);
     if via.contains(&context.instance_name) || via.len() > MAX_VIA {
--- a/crates/daemon/src/listeners/grpc/call.rs
+++ b/crates/daemon/src/listeners/grpc/call.rs
@@ -17,13 +17,13 @@
 /// it.
 const REFLECTION_ALPHA: &str = "grpc.reflection.v1alpha.ServerReflection";
 
-/// Answers a call, whose head takes `_head_memory` until then. The future is dropped if the stream is reset or the connection ends. This cancels what the call
-/// waits for, and reports the disconnect to the host.
+/// Answers a call. `memory` is what its head and task take; its message is added to it. The future is dropped if the stream is reset or the
+/// connection ends. This cancels what the call waits for, and reports the disconnect to the host.
 pub(super) async fn respond(
     context: &Rc<CallContext>,
     open_call: OpenCall,
     request: Request<Incoming>,
-    _head_memory: MemoryReservation,
+    memory: MemoryReservation,
 ) -> Response<Reply> {
     let received_at = Instant::now();
     let (head, body) = request.into_parts();
@@ -37,18 +37,20 @@
     let (service, method) = path.strip_prefix('/').and_then(|path| path.rsplit_once('/')).unwrap_or_default();
     let result = match (service, method) {
         (AUTHORIZATION, "Check") => {
-            let decision = authorization::check(context, headers, body, received_at).await;
+            let decision = authorization::check(context, headers, body, memory, received_at).await;
             decision.map(|Decision { response, disconnect }| {
                 let reply = reply::message(&response, open_call.track_reply());
                 reply.map(|reply| reply.with_disconnect_guard(disconnect))
             })
         }
         (HEALTH, "Check") => {
-            let response = health::check(context, headers, body, received_at).await;
+            let response = health::check(context, headers, body, memory, received_at).await;
             response.map(|response| reply::message(&response, open_call.track_reply()))
         }
-        (HEALTH, "Watch") => health::watch(context, headers, body, received_at, open_call).await,
-        (REFLECTION | REFLECTION_ALPHA, "ServerReflectionInfo") => Ok(reflection::serve(body, open_call)),
+        (HEALTH, "Watch") => health::watch(context, headers, body, memory, received_at, open_call).await,
+        (REFLECTION | REFLECTION_ALPHA, "ServerReflectionInfo") => {
+            reflection::serve(context, body, memory, open_call)
+        }
         _ => Err(Status::new(Code::Unimplemented, "no such method")),
     };
     result.unwrap_or_else(|status| reply::status(&status))
--- a/crates/daemon/src/listeners/grpc/health.rs
+++ b/crates/daemon/src/listeners/grpc/health.rs
@@ -2,9 +2,9 @@
 
 use super::connection::OpenCall;
 use super::context::CallContext;
-use super::reply::{self, Reply};
+use super::reply::{self, MessageSender, Reply, StreamMessage};
 use super::unary::{parse_deadline, read_message};
-use bytes::Bytes;
+use crate::memory::MemoryReservation;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::Response;
@@ -23,11 +23,12 @@
     context: &CallContext,
     headers: &HeaderMap,
     body: Incoming,
+    memory: MemoryReservation,
     received_at: Instant,
 ) -> Result<HealthCheckResponse, Status> {
     let deadline = parse_deadline(headers, received_at)?;
-    let (request, _reservation) =
-        read_message::<HealthCheckRequest>(context, headers, body, deadline).await?;
+    let (request, _memory) =
+        read_message::<HealthCheckRequest>(context, headers, body, memory, deadline).await?;
     match serving_status(context, &request.service) {
         ServingStatus::ServiceUnknown => Err(Status::new(Code::NotFound, "no such service")),
         status => Ok(response(status)),
@@ -43,29 +44,30 @@
     context: &Rc<CallContext>,
     headers: &HeaderMap,
     body: Incoming,
+    memory: MemoryReservation,
     received_at: Instant,
     open_call: OpenCall,
 ) -> Result<Response<Reply>, Status> {
     let deadline = parse_deadline(headers, received_at)?;
-    let (HealthCheckRequest { service }, _) = read_message(context, headers, body, deadline).await?;
+    let (request, memory) =
+        read_message::<HealthCheckRequest>(context, headers, body, memory, deadline).await?;
     let (sender, messages) = mpsc::channel(1);
-    tokio::task::spawn_local(send_changes(context.clone(), service, open_call, sender));
+    let context = context.clone();
+    tokio::task::spawn_local(async move {
+        let _memory = memory;
+        send_changes(context, request.service, open_call, sender).await;
+    });
     Ok(reply::stream(messages))
 }
 
-async fn send_changes(
-    context: Rc<CallContext>,
-    service: String,
-    open_call: OpenCall,
-    sender: mpsc::Sender<Result<Bytes, Status>>,
-) {
+async fn send_changes(context: Rc<CallContext>, service: String, open_call: OpenCall, sender: MessageSender) {
     let mut serving = context.serving.subscribe();
     let mut last_sent = None;
     loop {
         serving.mark_unchanged();
         let status = serving_status(&context, &service);
         if last_sent.replace(status) != Some(status)
-            && sender.send(Ok(frame(&response(status)))).await.is_err()
+            && sender.send(Ok(StreamMessage::new(frame(&response(status)), &open_call))).await.is_err()
         {
             return;
         }
--- a/crates/daemon/src/listeners/grpc/reply.rs
+++ b/crates/daemon/src/listeners/grpc/reply.rs
@@ -1,6 +1,6 @@
 //! gRPC replies: one message and its status, a status alone, or a stream of messages.
 
-use super::connection::UndeliveredReply;
+use super::connection::{OpenCall, UndeliveredReply};
 use crate::events::DisconnectGuard;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -19,8 +19,8 @@
 /// The body of a reply.
 pub(super) struct Reply {
     content: Content,
-    /// Counts the reply as undelivered until it is sent.
-    _undelivered: Option<UndeliveredReply>,
+    /// Counts the reply, or the latest message of a stream, as undelivered until it is sent.
+    undelivered: Option<UndeliveredReply>,
     /// Reports a disconnect if the reply is dropped before its message is sent.
     disconnect: Option<DisconnectGuard>,
 }
@@ -40,11 +40,27 @@
         trailers: Option<HeaderMap>,
     },
     Stream {
-        messages: mpsc::Receiver<Result<Bytes, Status>>,
+        messages: mpsc::Receiver<Result<StreamMessage, Status>>,
         ended: bool,
     },
 }
 
+/// A message of a stream.
+pub(super) struct StreamMessage {
+    bytes: Bytes,
+    undelivered: UndeliveredReply,
+}
+
+impl StreamMessage {
+    /// A framed message, which counts as undelivered from now on.
+    pub(super) fn new(bytes: Bytes, open_call: &OpenCall) -> StreamMessage {
+        StreamMessage { bytes, undelivered: open_call.track_reply() }
+    }
+}
+
+/// The sending end of a stream of messages.
+pub(super) type MessageSender = mpsc::Sender<Result<StreamMessage, Status>>;
+
 impl Content {
     fn empty() -> Content {
         Content::Unary { message: None, trailers: None }
@@ -63,7 +79,7 @@
 }
 
 fn grpc_response(content: Content, undelivered: Option<UndeliveredReply>) -> Response<Reply> {
-    let mut response = Response::new(Reply { content, _undelivered: undelivered, disconnect: None });
+    let mut response = Response::new(Reply { content, undelivered, disconnect: None });
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/grpc"));
     response
 }
@@ -87,13 +103,13 @@
 /// The reply to a request that is not gRPC: a plain HTTP status.
 pub(super) fn http_status(status: StatusCode) -> Response<Reply> {
     let mut response =
-        Response::new(Reply { content: Content::empty(), _undelivered: None, disconnect: None });
+        Response::new(Reply { content: Content::empty(), undelivered: None, disconnect: None });
     *response.status_mut() = status;
     response
 }
 
 /// A stream of messages, which ends with status OK when the channel is closed.
-pub(super) fn stream(messages: mpsc::Receiver<Result<Bytes, Status>>) -> Response<Reply> {
+pub(super) fn stream(messages: mpsc::Receiver<Result<StreamMessage, Status>>) -> Response<Reply> {
     grpc_response(Content::Stream { messages, ended: false }, None)
 }
 
@@ -118,15 +134,22 @@
                 trailers.take().map(|trailers| Ok(Frame::trailers(trailers)))
             }
             Content::Stream { ended: true, .. } => None,
-            Content::Stream { messages, ended } => match messages.poll_recv(context) {
-                Poll::Pending => return Poll::Pending,
-                Poll::Ready(Some(Ok(message))) => Some(Ok(Frame::data(message))),
-                Poll::Ready(end) => {
-                    *ended = true;
-                    let status = end.and_then(Result::err).unwrap_or_else(|| Status::new(Code::Ok, ""));
-                    Some(Ok(Frame::trailers(trailers(&status))))
+            Content::Stream { messages, ended } => {
+                // hyper polls again once the client's flow-control window has admitted the message before.
+                reply.undelivered = None;
+                match messages.poll_recv(context) {
+                    Poll::Pending => return Poll::Pending,
+                    Poll::Ready(Some(Ok(message))) => {
+                        reply.undelivered = Some(message.undelivered);
+                        Some(Ok(Frame::data(message.bytes)))
+                    }
+                    Poll::Ready(end) => {
+                        *ended = true;
+                        let status = end.and_then(Result::err).unwrap_or_else(|| Status::new(Code::Ok, ""));
+                        Some(Ok(Frame::trailers(trailers(&status))))
+                    }
                 }
-            },
+            }
         })
     }
 
--- a/crates/daemon/src/listeners/grpc/unary.rs
+++ b/crates/daemon/src/listeners/grpc/unary.rs
@@ -60,14 +60,16 @@
     Ok(received_at + timeout.min(MAX_WAIT))
 }
 
-/// Reads the message of a unary call, until the shutdown deadline at most, and reserves memory for it.
+/// Reads the message of a unary call, until the shutdown deadline at most. Returns it with `memory`, the reservation of
+/// the call, which has grown by what the message takes.
 pub(super) async fn read_message<M: Message + Default>(
     context: &CallContext,
     headers: &HeaderMap,
     body: Incoming,
+    memory: MemoryReservation,
     deadline: Instant,
 ) -> Result<(M, MemoryReservation), Status> {
-    let message = read_whole_message(context, headers, body, deadline);
+    let message = read_whole_message(context, headers, body, memory, deadline);
     let message = context.admission.shutdown_deadline().limit(message).await;
     message.unwrap_or_else(|| Err(shutting_down()))
 }
@@ -76,12 +78,12 @@
     context: &CallContext,
     headers: &HeaderMap,
     mut body: Incoming,
+    mut memory: MemoryReservation,
     deadline: Instant,
 ) -> Result<(M, MemoryReservation), Status> {
     if headers.get(GRPC_ENCODING).is_some_and(|encoding| encoding != "identity") {
         return Err(Status::new(Code::Unimplemented, "grpc-encoding is not supported, expected identity"));
     }
-    let mut memory = context.admission.memory().reservation();
     let mut unary = UnaryDecoder::new(context.limits.max_message_bytes);
     let message_deadline = deadline.min(Instant::now() + MESSAGE_TIMEOUT);
     loop {
--- a/crates/daemon/tests/grpc_limits.rs
+++ b/crates/daemon/tests/grpc_limits.rs
@@ -211,6 +211,21 @@
     assert_both_listeners_serve(&limiter, address);
 }
 
+/// Guards against a client that holds the messages of streams, and the memory that is charged for them, for as long as its
+/// connection may live.
+#[test]
+fn a_client_that_takes_no_message_of_a_stream_is_closed() {
+    let (limiter, address) = start_limiter("");
+    in_parallel([(WATCH, &[0; 5][..]), (REFLECTION, &[0, 0, 0, 0, 2, 0x3a, 0])], |(path, message)| {
+        // SETTINGS_INITIAL_WINDOW_SIZE 0: no response message can be sent.
+        let mut raw = RawConnection::new(address, &[(4, 0)]);
+        raw.send_frame(HEADERS, END_HEADERS, 1, &call_headers(path));
+        raw.send_frame(DATA, END_STREAM, 1, message);
+        assert!(raw.wait_for_close(), "{path}");
+    });
+    assert_both_listeners_serve(&limiter, address);
+}
+
 #[test]
 fn a_connection_without_a_call_is_closed() {
     let (limiter, address) = start_limiter("");
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -6,7 +6,7 @@
 
 use common::grpc::{
     self, call_headers, header_block, raw_frame, wire, GrpcClient, CHECK, DATA, END_HEADERS, HEADERS,
-    SETTINGS,
+    REFLECTION, SETTINGS, WATCH,
 };
 use common::*;
 use serde_json::json;
@@ -27,6 +27,13 @@
 /// Connections and streams that the gRPC listener accepts by default.
 const GRPC_CONNECTIONS: usize = 32;
 const GRPC_STREAMS: u32 = 100;
+/// The window of an HTTP/2 connection until it is updated, and the largest frame (RFC 9113, 6.9.2 and 6.5.2).
+const FIRST_WINDOW: usize = 65_535;
+const MAX_FRAME: usize = 16_384;
+/// A SETTINGS entry: nothing may be sent on a stream until its window is updated (`SETTINGS_INITIAL_WINDOW_SIZE` of 0).
+const NO_INITIAL_WINDOW: [u8; 6] = [0, 4, 0, 0, 0, 0];
+/// Begins an uncompressed gRPC message of 65,535 bytes.
+const MESSAGE_PREFIX: [u8; 5] = [0, 0, 0, 0xff, 0xff];
 /// The customer of the requests that the test kit makes.
 const CUSTOMER: &str = "00000000b4d65521";
 /// The largest body, and the largest head.
@@ -219,9 +226,9 @@
     assert_eq!(limiter.client().ask(&quote("roomy", 60_000)).status(), 200);
 }
 
-/// What each of many gRPC clients sends behind its preface, by name.
-fn grpc_floods() -> Vec<(&'static str, Vec<u8>)> {
-    let streams = || (0..GRPC_STREAMS).map(|n| 2 * n + 1);
+/// What each of many gRPC clients sends behind its preface, by name. Some send it on this many streams.
+fn grpc_floods(stream_count: u32) -> Vec<(&'static str, Vec<u8>)> {
+    let streams = || (0..stream_count).map(|n| 2 * n + 1);
     let names: Vec<String> = (0..440).map(|n| format!("{n:x}")).collect();
     let many: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "")).collect();
     let many_headers = [call_headers(CHECK), header_block(&many)].concat();
@@ -230,8 +237,11 @@
         frame[5..9].copy_from_slice(&stream.to_be_bytes());
         frame
     };
-    let message = [&[0, 0, 0, 0xff, 0xff][..], &[0; 16_000]].concat();
+    // As much on all streams together as the connection's first window permits: more would close the connection.
+    let part = vec![0; (FIRST_WINDOW / stream_count as usize).min(MAX_FRAME) - MESSAGE_PREFIX.len()];
+    let message = [&MESSAGE_PREFIX[..], &part].concat();
     let tiny = raw_frame(DATA, 0, 1, &[0]);
+    let reflection = [&[0, 0, 0, 0, 37, 0x22, 35][..], b"envoy.service.auth.v3.Authorization"].concat();
     vec![
         (
             "gRPC heads of many short headers",
@@ -244,15 +254,33 @@
         ),
         (
             "gRPC messages in tiny frames",
-            [call.clone(), raw_frame(DATA, 0, 1, &[0, 0, 0, 0xff, 0xff]), tiny.repeat(60_000)].concat(),
+            [call.clone(), raw_frame(DATA, 0, 1, &MESSAGE_PREFIX), tiny.repeat(60_000)].concat(),
+        ),
+        (
+            "gRPC health watches",
+            streams().flat_map(|n| unread_call(n, WATCH, &[0; MESSAGE_PREFIX.len()])).collect(),
+        ),
+        (
+            "gRPC reflection whose responses are not read",
+            [
+                raw_frame(SETTINGS, 0, 0, &NO_INITIAL_WINDOW),
+                streams().flat_map(|n| unread_call(n, REFLECTION, &reflection.repeat(2))).collect(),
+            ]
+            .concat(),
         ),
     ]
 }
 
+/// A call on this stream, with a message behind which others may follow.
+fn unread_call(stream: u32, path: &str, message: &[u8]) -> Vec<u8> {
+    let head = raw_frame(HEADERS, END_HEADERS, stream, &call_headers(path));
+    [head, raw_frame(DATA, 0, stream, message)].concat()
+}
+
 /// Guards against calls that gRPC clients begin and do not complete.
 #[test]
 fn incomplete_grpc_calls_stay_within_the_memory_limit() {
-    for (what, bytes) in grpc_floods() {
+    for (what, bytes) in grpc_floods(GRPC_STREAMS) {
         let server = Fake::new(|_| ok("served"));
         let limiter = start(&server, "[grpc]\nlisten = '127.0.0.1:0'\n");
         let address = limiter.grpc.expect("a gRPC listener");
@@ -273,7 +301,7 @@
     let address = limiter.grpc.expect("a gRPC listener");
     let preface = [wire::PREFACE, &raw_frame(SETTINGS, 0, 0, &[])].concat();
     thread::scope(|scope| {
-        for (_, bytes) in grpc_floods() {
+        for (_, bytes) in grpc_floods(GRPC_STREAMS) {
             let preface = &preface;
             scope.spawn(move || {
                 open_connections(address, GRPC_CONNECTIONS / 4, || [preface.as_slice(), &bytes].concat())
