Count gRPC connections in the memory of all connections

What callers saw (found here): a [grpc] section may allow up to 10,000 connections, as many as there are descriptors. With 32 MB and connections = 480, 480 clients that send a head of 440 short fields without its end took the process to 52,976 KB.

Cause: the memory of connections limited those over HTTP alone. The decoder of a head keeps its fields, at several times the size that the limit on header lists counts, and no budget sees them before the end.

Change: the number of gRPC connections is limited by a quarter of the memory, at 20 KB and five times the limit on header lists for each; HTTP connections get the rest of the half that all may use. The log says where fewer are accepted than are configured.

--- a/crates/daemon/src/serve/listeners.rs
+++ b/crates/daemon/src/serve/listeners.rs
@@ -1,6 +1,7 @@
 //! The listeners for clients: HTTP always, gRPC if the operator's file has a `[grpc]` section.
 
 use super::error::ServeError;
+use super::resources::SocketBudget;
 use crate::listeners::admission::Admission;
 use crate::listeners::grpc::{GrpcServer, Limits};
 use crate::listeners::http::HttpServer;
@@ -47,9 +48,9 @@
         Ok(BoundListeners { http, http_address, grpc })
     }
 
-    /// Maximum number of sockets that the gRPC listener uses.
-    pub fn grpc_sockets(&self) -> usize {
-        self.grpc.as_ref().map_or(0, |grpc| grpc.limits.max_connections + 1)
+    /// The operator's limits of the gRPC listener, if there is one.
+    pub fn grpc_limits(&self) -> Option<&Limits> {
+        self.grpc.as_ref().map(|grpc| &grpc.limits)
     }
 }
 
@@ -59,6 +60,18 @@
         let listener = listen(limits.listen, " for gRPC").await?;
         Ok(BoundGrpc { listener, limits, mapping })
     }
+
+    /// Lowers the maximum number of connections to one that there is memory for, and logs it.
+    fn limit_connections(&mut self, max_connections: usize) {
+        let configured = self.limits.max_connections;
+        if max_connections < configured {
+            log(
+                "liftrouter",
+                format_args!("gRPC: {max_connections} connections at most, not {configured}: memory_mb has room for no more"),
+            );
+            self.limits.max_connections = max_connections;
+        }
+    }
 }
 
 /// A listener and the task that accepts its connections.
@@ -79,11 +92,14 @@
     pub fn start(
         bound: BoundListeners,
         admission: &Rc<Admission>,
-        client_sockets: usize,
+        sockets: &SocketBudget,
         name: String,
     ) -> Rc<Self> {
-        let http = start_http(bound.http, admission.clone(), client_sockets);
-        let grpc = bound.grpc.map(|grpc| start_grpc(grpc, admission.clone(), name));
+        let http = start_http(bound.http, admission.clone(), sockets.clients);
+        let grpc = bound.grpc.map(|mut grpc| {
+            grpc.limit_connections(sockets.grpc);
+            start_grpc(grpc, admission.clone(), name)
+        });
         log("liftrouter", format_args!("listening on {}", bound.http_address));
         Rc::new(Listeners { http, grpc })
     }
--- a/crates/daemon/src/serve/mod.rs
+++ b/crates/daemon/src/serve/mod.rs
@@ -96,7 +96,7 @@
     spawn_local(async move { servers.close_idle_connections().await });
     list.follow(&events, discovery_seed);
     spawn_local(reload(hangup, path, list.discovery().clone(), counters));
-    let listeners = Listeners::start(bound, &admission, sockets.clients, name);
+    let listeners = Listeners::start(bound, &admission, &sockets, name);
     spawn_local(set_ready_after_first_list(list, listeners.clone(), events.clone(), config.known_endpoints));
 
     terminated.recv().await;
--- a/crates/daemon/src/serve/resources.rs
+++ b/crates/daemon/src/serve/resources.rs
@@ -3,6 +3,7 @@
 use super::listeners::BoundListeners;
 use crate::config::Limits;
 use crate::counter::client;
+use crate::listeners::grpc::Limits as GrpcLimits;
 use crate::operator::OperatorConfig;
 
 /// Descriptors reserved for the listener, the runtime, discovery and connections that are being accepted.
@@ -26,6 +27,11 @@
 /// Memory of one connection beside what it charges to the memory budget: its buffers, its task, and the free part of its
 /// reservations.
 const CONNECTION_BYTES: f64 = 20.0 * 1024.0;
+/// Ratio of the memory limit that gRPC connections may use of that of all connections.
+const GRPC_MEMORY_RATIO: f64 = 0.25;
+/// Memory of a header list while it is received, as a multiple of its size limit: a short header takes several times the
+/// 32 bytes that the limit counts beside its name and value.
+const HEADER_LIST_MEMORY_FACTOR: f64 = 5.0;
 const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
 /// 2^64 divided by the golden ratio, rounded to an odd number: its multiples differ in bits of all positions.
 const SEED_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
@@ -36,6 +42,10 @@
     pub clients: usize,
     /// Sockets for connections to servers.
     pub servers: usize,
+    /// Sockets for connections from gRPC clients.
+    pub grpc: usize,
+    /// Memory that all these connections may use beside the memory budget, in bytes.
+    connection_bytes: f64,
 }
 
 impl SocketBudget {
@@ -46,12 +56,45 @@
             operator.authorizers.iter().map(|authorizer| authorizer.max_connections).sum::<usize>();
         let fallback_counters = operator.counter.as_ref().map_or(0, |counter| counter.fallbacks.len());
         let counters = client::MAX_CONCURRENT_CALLS * (1 + fallback_counters);
-        let reserved = RESERVED_SOCKETS + counters + listeners.grpc_sockets() + authorizers;
+        let memory = memory_bytes(limits);
+        let grpc = GrpcSockets::new(memory, listeners.grpc_limits());
+        let reserved = RESERVED_SOCKETS + counters + grpc.sockets + authorizers;
         // A request can hold two sockets, one to its client and one to a server.
         let by_descriptors = limits.sockets.unwrap_or(DEFAULT_SOCKETS).saturating_sub(reserved);
-        let by_memory = (memory_bytes(limits) * CONNECTION_MEMORY_RATIO / CONNECTION_BYTES) as usize;
+        let by_memory = ((memory * CONNECTION_MEMORY_RATIO - grpc.memory_bytes) / CONNECTION_BYTES) as usize;
         let available = by_descriptors.min(by_memory).max(2);
-        SocketBudget { clients: available - available / 2, servers: available / 2 }
+        SocketBudget {
+            clients: available - available / 2,
+            servers: available / 2,
+            grpc: grpc.connections,
+            connection_bytes: available as f64 * CONNECTION_BYTES + grpc.memory_bytes,
+        }
+    }
+}
+
+/// What the gRPC listener may use; nothing if there is none.
+#[derive(Default)]
+struct GrpcSockets {
+    connections: usize,
+    /// The connections and the listener.
+    sockets: usize,
+    /// Memory of the connections beside the memory budget, in bytes.
+    memory_bytes: f64,
+}
+
+impl GrpcSockets {
+    /// As many connections as the operator allows, as far as there is memory for them.
+    fn new(memory: f64, limits: Option<&GrpcLimits>) -> Self {
+        let Some(limits) = limits else { return GrpcSockets::default() };
+        let header_list_bytes = HEADER_LIST_MEMORY_FACTOR * f64::from(limits.max_header_list_bytes);
+        let bytes_of_each = CONNECTION_BYTES + header_list_bytes;
+        let by_memory = (memory * GRPC_MEMORY_RATIO / bytes_of_each) as usize;
+        let connections = limits.max_connections.min(by_memory).max(1);
+        GrpcSockets {
+            connections,
+            sockets: connections + 1,
+            memory_bytes: connections as f64 * bytes_of_each,
+        }
     }
 }
 
@@ -64,8 +107,7 @@
 /// connections and the memory budget leave.
 pub(super) fn max_customers(limits: &Limits, sockets: &SocketBudget) -> usize {
     let memory = memory_bytes(limits);
-    let connections = (sockets.clients + sockets.servers) as f64 * CONNECTION_BYTES;
-    let left = memory - PROGRAM_BYTES - connections - memory * BUDGET_MEMORY_RATIO;
+    let left = memory - PROGRAM_BYTES - sockets.connection_bytes - memory * BUDGET_MEMORY_RATIO;
     let customers = (left * CUSTOMER_MEMORY_RATIO).max(memory * MIN_CUSTOMER_MEMORY_RATIO);
     (customers / CUSTOMER_BYTES) as usize
 }
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -293,6 +293,26 @@
     }
 }
 
+/// Guards against a gRPC listener that is given as many connections as there are descriptors, and takes no part in the
+/// limit on the memory of connections.
+#[test]
+fn many_grpc_connections_stay_within_the_memory_limit() {
+    let operator = format!("[grpc]\nlisten = '127.0.0.1:0'\nconnections = {CONNECTIONS}\n");
+    let streams = GRPC_STREAMS * GRPC_CONNECTIONS as u32 / CONNECTIONS as u32;
+    for (what, bytes) in grpc_floods(streams) {
+        let server = Fake::new(|_| ok("served"));
+        let limiter = start(&server, &operator);
+        let address = limiter.grpc.expect("a gRPC listener");
+        let preface = [wire::PREFACE, &raw_frame(SETTINGS, 0, 0, &[])].concat();
+        let clients = open_connections(address, CONNECTIONS, || [preface.as_slice(), &bytes].concat());
+        let what = format!("{what}, {CONNECTIONS} connections");
+        assert_within_memory(&what, &limiter);
+        drop(clients);
+        let check = grpc::check_request("quote", "roomy", 1);
+        assert!(GrpcClient::new(address).permitted(&check), "{what}");
+    }
+}
+
 /// Guards against all of these together: each listener within a limit of its own would be too much.
 #[test]
 fn all_listeners_together_stay_within_the_memory_limit() {
