Test the charge for responses of a reflection by itself

Change: a limiter whose budget has room for a call and not for its response refuses the response; with 32 MB it is sent.

Measured: a_reflection_response_beyond_the_memory_budget_is_refused passes, and fails without the charge (a DATA frame where a status is expected).

--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -5,8 +5,8 @@
 mod common;
 
 use common::grpc::{
-    self, call_headers, header_block, raw_frame, wire, GrpcClient, CHECK, DATA, END_HEADERS, HEADERS,
-    REFLECTION, SETTINGS, WATCH,
+    self, call_headers, header_block, raw_frame, wire, GrpcClient, RawConnection, RawFrame, CHECK, DATA,
+    END_HEADERS, END_STREAM, HEADERS, REFLECTION, SETTINGS, WATCH,
 };
 use common::*;
 use serde_json::json;
@@ -46,11 +46,15 @@
 
 /// Starts a limiter with the least memory, and this server under many ids, so that it gets many requests at once.
 fn start(server: &Fake, operator: &str) -> Limiter {
+    start_with_memory(LEAST_MEMORY_MB as f64, server, operator)
+}
+
+fn start_with_memory(memory_mb: f64, server: &Fake, operator: &str) -> Limiter {
     let list = (0..64).map(|n| instance(&format!("s-{n}"), server.address, "in_service")).collect();
     let operator = temp_file(operator);
     let mut command = command();
     command.arg("--operator").arg(&operator);
-    let limits = json!({"cores": 1.0, "memory_mb": LEAST_MEMORY_MB, "sockets": DESCRIPTORS});
+    let limits = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": DESCRIPTORS});
     let settings = settings_with_deadline(60.0);
     let limiter = Limiter::with_limits(limits, command, settings, &discovery(list), counter().address);
     let _ = std::fs::remove_file(operator);
@@ -241,7 +245,7 @@
     let part = vec![0; (FIRST_WINDOW / stream_count as usize).min(MAX_FRAME) - MESSAGE_PREFIX.len()];
     let message = [&MESSAGE_PREFIX[..], &part].concat();
     let tiny = raw_frame(DATA, 0, 1, &[0]);
-    let reflection = [&[0, 0, 0, 0, 37, 0x22, 35][..], b"envoy.service.auth.v3.Authorization"].concat();
+    let reflection = reflection_request();
     vec![
         (
             "gRPC heads of many short headers",
@@ -271,6 +275,28 @@
     ]
 }
 
+/// A gRPC message that requests the description of a service: field 4, `file_containing_symbol`.
+fn reflection_request() -> Vec<u8> {
+    [&[0, 0, 0, 0, 37, 0x22, 35][..], b"envoy.service.auth.v3.Authorization"].concat()
+}
+
+/// Guards against responses of a reflection that are kept although there is no memory for them.
+#[test]
+fn a_reflection_response_beyond_the_memory_budget_is_refused() {
+    let server = Fake::new(|_| ok("served"));
+    // Of the memory limit, an eighth is the budget: the smaller one has room for the call, not for its response.
+    for (memory_mb, first_frame) in [(LEAST_MEMORY_MB as f64, DATA), (0.064, HEADERS)] {
+        let limiter = start_with_memory(memory_mb, &server, "[grpc]\nlisten = '127.0.0.1:0'\n");
+        let mut client = RawConnection::new(limiter.grpc.expect("a gRPC listener"), &[]);
+        assert!(client.write(&unread_call(1, REFLECTION, &reflection_request())));
+        let is_response = |f: &RawFrame| f.stream == 1 && (f.kind == DATA || f.flags & END_STREAM != 0);
+        let head = client.read_until(|f| f.stream == 1).expect("the head of a response");
+        assert_eq!((head.kind, head.flags & END_STREAM), (HEADERS, 0), "{memory_mb} MB: the call is begun");
+        let response = client.read_until(is_response).expect("a response");
+        assert_eq!(response.kind, first_frame, "{memory_mb} MB");
+    }
+}
+
 /// A call on this stream, with a message behind which others may follow.
 fn unread_call(stream: u32, path: &str, message: &[u8]) -> Vec<u8> {
     let head = raw_frame(HEADERS, END_HEADERS, stream, &call_headers(path));
