Number the processes of servers once for the whole table

Need: numbered the processes of each entry from 0, so a server that is removed and listed again at the same address was the same process once more. A connection that a health check held meanwhile, or that was about to be returned, could join the pool of the new process. The process also repeated the address of the status beside it.

Change: one counter in the table gives each process its number; the process is derived from status and number.

Measured: a_server_that_is_listed_again_after_its_removal_is_another_process passes, and fails if a new entry begins at a fixed number.

--- a/crates/daemon/src/upstream/servers.rs
+++ b/crates/daemon/src/upstream/servers.rs
@@ -1,10 +1,13 @@
 //! The table of servers, with the address, the state and the idle connections of each.
 
+#[cfg(test)]
+mod tests;
+
 use super::connection::HttpConnection;
 use super::connection_counts::ConnectionCounts;
 use crate::memory::MemoryBudget;
 use liftrouter_decision::{EndpointId, EndpointState, Settings};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -33,18 +36,18 @@
     pub started_at: Option<f64>,
 }
 
-/// Identifies one process of a server: a restart, or a new address, makes another of it.
+/// Identifies one process of a server: a restart, a new address, or another entry after a removal makes another of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerProcess {
     /// The address on which it listens.
     pub address: SocketAddr,
-    /// The number of restarts that the list has reported.
-    incarnation: u32,
+    /// No two processes in the table have had the same number.
+    incarnation: u64,
 }
 
 struct Server {
     status: ServerStatus,
-    process: ServerProcess,
+    incarnation: u64,
     /// Idle connections, the most recently used last.
     idle: Vec<HttpConnection>,
 }
@@ -52,6 +55,7 @@
 /// All servers, with a connection pool for each and a limit on the sockets of all together.
 pub struct Servers {
     table: RefCell<HashMap<EndpointId, Server>>,
+    last_incarnation: Cell<u64>,
     connect_timeout: Duration,
     idle_timeout: Duration,
     connections: Rc<ConnectionCounts>,
@@ -62,17 +66,15 @@
 }
 
 impl Server {
-    /// Updates the status. Returns whether the server is another process now.
-    fn update(&mut self, status: ServerStatus) -> bool {
+    fn process(&self) -> ServerProcess {
+        ServerProcess { address: self.status.address, incarnation: self.incarnation }
+    }
+
+    /// Whether this status is that of another process.
+    fn is_replaced_by(&self, status: ServerStatus) -> bool {
         // A start time that is not given any more is long ago; the process is the same.
         let has_restarted = status.started_at.is_some() && status.started_at != self.status.started_at;
-        let is_replaced = has_restarted || status.address != self.status.address;
-        if is_replaced {
-            let incarnation = self.process.incarnation.wrapping_add(1);
-            self.process = ServerProcess { address: status.address, incarnation };
-        }
-        self.status = ServerStatus { started_at: status.started_at.or(self.status.started_at), ..status };
-        is_replaced
+        has_restarted || status.address != self.status.address
     }
 }
 
@@ -84,6 +86,7 @@
         let connect_timeout_s = or(settings.connect_timeout_s, DEFAULT_CONNECT_TIMEOUT_S);
         Servers {
             table: RefCell::default(),
+            last_incarnation: Cell::new(0),
             connect_timeout: Duration::from_secs_f64(connect_timeout_s),
             idle_timeout: Duration::from_secs_f64(IDLE_TIMEOUT_RATIO * server_idle_timeout_s),
             connections: ConnectionCounts::new("servers"),
@@ -101,14 +104,23 @@
         }
         let mut table = self.table.borrow_mut();
         let Some(server) = table.get_mut(id) else {
-            let process = ServerProcess { address: status.address, incarnation: 0 };
-            table.insert(id.clone(), Server { status, process, idle: Vec::new() });
+            let incarnation = self.next_incarnation();
+            table.insert(id.clone(), Server { status, incarnation, idle: Vec::new() });
             return;
         };
-        let is_replaced = server.update(status);
+        let is_replaced = server.is_replaced_by(status);
+        if is_replaced {
+            server.incarnation = self.next_incarnation();
+        }
         if is_replaced || status.state != EndpointState::InService {
             server.idle.clear();
         }
+        server.status = ServerStatus { started_at: status.started_at.or(server.status.started_at), ..status };
+    }
+
+    fn next_incarnation(&self) -> u64 {
+        self.last_incarnation.set(self.last_incarnation.get() + 1);
+        self.last_incarnation.get()
     }
 
     /// Removes a server and closes the idle connections to it.
@@ -130,7 +142,7 @@
     pub fn process(&self, id: &EndpointId) -> Option<ServerProcess> {
         let table = self.table.borrow();
         let server = table.get(id).filter(|server| server.status.state == EndpointState::InService);
-        server.map(|server| server.process)
+        server.map(Server::process)
     }
 
     /// Takes the most recently used idle connection that is usable and past its reuse delay. Unusable connections that
@@ -156,7 +168,7 @@
             return;
         }
         if let Some(server) = self.table.borrow_mut().get_mut(id) {
-            if server.process == process && server.status.state == EndpointState::InService {
+            if server.process() == process && server.status.state == EndpointState::InService {
                 server.idle.push(connection);
             }
         }
