--- a/crates/daemon/src/listeners/fields.rs
+++ b/crates/daemon/src/listeners/fields.rs
@@ -17,13 +17,13 @@
 const CUSTOMER_NUMBER_LIMIT: u64 = 1 << 33;
 const CUSTOMER_DIGITS: usize = 16;
 
-/// What one header takes in memory beside its name and value, in bytes: its entry in the map, and two small allocations
-/// for names and values that have their own.
-const HEADER_ENTRY_BYTES: usize = 160;
+/// What one entry of a map takes in memory beside its key and value, in bytes: its place in the map, and two small
+/// allocations.
+pub const MAP_ENTRY_BYTES: usize = 160;
 
 /// About how much memory a map of headers takes, in bytes.
 pub fn memory_of_headers(headers: &HeaderMap) -> usize {
-    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + HEADER_ENTRY_BYTES).sum()
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + MAP_ENTRY_BYTES).sum()
 }
 
 /// Parses a customer number of 16 hexadecimal digits. Returns it in lower case, the form that the decision module uses.
--- a/crates/daemon/src/listeners/grpc/authorization.rs
+++ b/crates/daemon/src/listeners/grpc/authorization.rs
@@ -7,7 +7,7 @@
 use crate::authorizer::{AuthorizationRequest, VIA};
 use crate::decimal::parse_decimal;
 use crate::events::{Answer, DisconnectGuard, IncomingRequest, RejectionCause, RequestKind};
-use crate::listeners::fields::{self, MAX_ID_BYTES};
+use crate::listeners::fields::{self, MAP_ENTRY_BYTES, MAX_ID_BYTES};
 use crate::memory::MemoryReservation;
 use crate::upstream::headers::RESERVED;
 use hyper::body::Incoming;
@@ -24,10 +24,6 @@
 /// The maximum time that a permitted call counts as in flight, even if its class allows more.
 const MAX_CALL_DURATION: Duration = Duration::from_secs(3_600);
 
-/// What one entry of a map takes in memory beside its key and value, in bytes: its place in the map, and two small
-/// allocations.
-const MAP_ENTRY_BYTES: usize = 160;
-
 /// The decision about a check request.
 pub(super) struct Decision {
     pub response: CheckResponse,
--- a/crates/daemon/src/listeners/grpc/call.rs
+++ b/crates/daemon/src/listeners/grpc/call.rs
@@ -17,8 +17,8 @@
 /// it.
 const REFLECTION_ALPHA: &str = "grpc.reflection.v1alpha.ServerReflection";
 
-/// Answers a call. `memory` is what its head and task take; its message is added to it. The future is dropped if the stream is reset or the
-/// connection ends. This cancels what the call waits for, and reports the disconnect to the host.
+/// Answers a call. `memory` is what its head and task take; its message is added to it. The future is dropped if the
+/// stream is reset or the connection ends. This cancels what the call waits for, and reports the disconnect to the host.
 pub(super) async fn respond(
     context: &Rc<CallContext>,
     open_call: OpenCall,
