Retry keyed requests by the zones and cells where their attempts may have run

What callers saw: a version of the inventory moved a node to another cell, and requests with an idempotency key whose connection ended after they had run were sent on to a node that did not know the key.

Cause: zone and cell were copied when an id was first seen. EndpointSet::apply_entry took state and weight alone from later entries, so that Constraints::allow compared the first location of both, whatever source had told of the move. Beside it: only the first attempt that may have run bound the next; an attempt kept the location of its sending while its endpoint moved; a missing cell was cell 0.

Change: an endpoint takes its location from every entry and knows since which update it has been there. An attempt keeps each location that its endpoint, or another one at its address, has had since it was sent; a retry goes only where the keys of all attempts that may have run are recognized for certain. An attempt that is not written completely is withdrawn if that ceases to hold (Action::Withdraw): the module decides, the host knows what is written. A cell that is not named is none; digests stay those of earlier versions. A move changes no budget, statistics or connection.

Why it works: the locations are those that the limiter was notified of, gathered from the send on, so that every place where the key may be known is in the set, and an endpoint is allowed only if it is known by all of them.

--- a/crates/catalog/src/digest.rs
+++ b/crates/catalog/src/digest.rs
@@ -102,7 +102,8 @@
     hash_text(&mut hasher, &instance.service);
     hash_text(&mut hasher, &instance.zone);
     hash_text(&mut hasher, &instance.machine_type);
-    hasher.update(&instance.cell.to_le_bytes());
+    // Relays of earlier versions read and hash a missing cell as 0.
+    hasher.update(&instance.cell.unwrap_or(0).to_le_bytes());
     hasher.update(&[instance.lifecycle as u8]);
     hash_number(&mut hasher, instance.weight);
     hash_number(&mut hasher, instance.started_at_ms);
--- a/crates/catalog/src/wire.rs
+++ b/crates/catalog/src/wire.rs
@@ -53,9 +53,9 @@
     /// The type of its machine; empty if unknown.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub machine_type: String,
-    /// The cell within its zone.
-    #[serde(default)]
-    pub cell: i64,
+    /// The cell within its zone; none if discovery names none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cell: Option<i64>,
     /// Whether it accepts new requests.
     pub lifecycle: Lifecycle,
     /// Its share of the requests relative to other servers.
--- a/crates/catalog/tests/arbitrary/mod.rs
+++ b/crates/catalog/tests/arbitrary/mod.rs
@@ -21,7 +21,7 @@
         service: service.into(),
         zone: "z".into(),
         machine_type: String::new(),
-        cell: 0,
+        cell: None,
         lifecycle,
         weight: Some(f64::from(weight)),
         started_at_ms: None,
--- a/crates/catalog/tests/fixtures.rs
+++ b/crates/catalog/tests/fixtures.rs
@@ -11,7 +11,7 @@
         service: "payments".into(),
         zone: "zone-1".into(),
         machine_type: "large".into(),
-        cell: 3,
+        cell: Some(3),
         lifecycle,
         weight: Some(0.75),
         started_at_ms: Some(1_700_000_000_123.0),
@@ -24,7 +24,7 @@
         service: String::new(),
         zone: String::new(),
         machine_type: String::new(),
-        cell: 0,
+        cell: Some(0),
         weight: None,
         started_at_ms: None,
         ..instance(id, Lifecycle::InService)
--- a/crates/catalog/tests/support/source.rs
+++ b/crates/catalog/tests/support/source.rs
@@ -68,7 +68,7 @@
             service,
             zone: format!("region-{}-zone-{}", number % 2, number % 7),
             machine_type: "c5.4xlarge".into(),
-            cell: i64::from(number % 9),
+            cell: Some(i64::from(number % 9)),
             lifecycle: Lifecycle::InService,
             weight: Some(1.0),
             started_at_ms: Some(STARTED_AT_MS + f64::from(number)),
--- a/crates/catalog/tests/wire.rs
+++ b/crates/catalog/tests/wire.rs
@@ -20,7 +20,7 @@
         service: String::new(),
         zone: "z1".into(),
         machine_type: "m".into(),
-        cell: 3,
+        cell: Some(3),
         lifecycle: Lifecycle::InService,
         weight: None,
         started_at_ms: None,
@@ -45,6 +45,19 @@
     assert_eq!(serde_json::to_string(&empty).unwrap(), r#"{"generation":7,"reset":false}"#);
 }
 
+/// Guards against servers without a cell that are taken for those of cell 0. Relays of earlier versions read a missing
+/// cell as 0, so that both must have the same digest.
+#[test]
+fn a_missing_cell_is_not_cell_0_but_has_its_digest() {
+    let without_cell = r#"{"instanceId":"a","hostPort":"10.0.0.1:8080","zone":"z1","machineType":"m","lifecycle":"in_service"}"#;
+    let decoded: Instance = serde_json::from_str(without_cell).unwrap();
+    assert_eq!(decoded, Instance { cell: None, ..instance("a") });
+    assert_eq!(serde_json::to_string(&decoded).unwrap(), without_cell);
+    let in_cell_0 = Instance { cell: Some(0), ..instance("a") };
+    assert_ne!(decoded, in_cell_0);
+    assert_eq!(Digest::of([&decoded]), Digest::of([&in_cell_0]));
+}
+
 #[test]
 fn an_unknown_lifecycle_is_decoded_as_terminated() {
     for (text, expected) in [
@@ -94,7 +107,7 @@
         Instance { service: "s".into(), ..plain.clone() },
         Instance { zone: "z2".into(), ..plain.clone() },
         Instance { machine_type: "n".into(), ..plain.clone() },
-        Instance { cell: 4, ..plain.clone() },
+        Instance { cell: Some(4), ..plain.clone() },
         Instance { lifecycle: Lifecycle::Terminating, ..plain.clone() },
         Instance { weight: Some(0.0), ..plain.clone() },
         Instance { started_at_ms: Some(0.0), ..plain.clone() },
@@ -130,7 +143,7 @@
         ".{0,4}",
         ".{0,4}",
         address,
-        any::<i64>(),
+        prop::option::of(any::<i64>()),
         lifecycle,
         prop::option::of(finite),
         prop::option::of(finite),
--- a/crates/counter/tests/common/mod.rs
+++ b/crates/counter/tests/common/mod.rs
@@ -186,9 +186,10 @@
     fn send_endpoint_list(&mut self, n: usize) {
         let entry = |k: usize| EndpointEntry {
             id: format!("10.0.0.{k}:1").into(),
+            address: None,
             zone: "".into(),
             machine_type: "std".into(),
-            cell: 0,
+            cell: None,
             state: EndpointState::InService,
             weight: 1.0,
             started_at: None,
--- a/crates/daemon/src/discovery/endpoint.rs
+++ b/crates/daemon/src/discovery/endpoint.rs
@@ -22,6 +22,7 @@
 fn entry(instance: &Instance) -> EndpointEntry {
     EndpointEntry {
         id: instance.instance_id.as_str().into(),
+        address: Some(instance.host_port),
         zone: instance.zone.as_str().into(),
         machine_type: instance.machine_type.as_str().into(),
         cell: instance.cell,
--- a/crates/daemon/src/discovery/inventory_file.rs
+++ b/crates/daemon/src/discovery/inventory_file.rs
@@ -233,9 +233,10 @@
     };
     let entry = EndpointEntry {
         id: node.id.as_str().into(),
+        address: Some(node.address),
         zone: node.zone.as_str().into(),
         machine_type: node.kind.as_str().into(),
-        cell: node.cell.unwrap_or(0),
+        cell: node.cell,
         state,
         weight: node.weight,
         started_at: node.started_ms.map(|at| at as f64 / MILLISECONDS_PER_SECOND),
--- a/crates/daemon/src/host/attempts.rs
+++ b/crates/daemon/src/host/attempts.rs
@@ -94,6 +94,15 @@
         self.remove_if_finished(id);
     }
 
+    /// Aborts an attempt if its request has not been written completely. The server then never executes it, whether it
+    /// supports cancellation or not. An attempt that is written stays in flight until it ends.
+    pub(super) fn withdraw_attempt(&mut self, id: RequestId, attempt: u32) {
+        let running = self.requests.get(&id).and_then(|open| open.running.as_ref());
+        if running.is_some_and(|running| !running.attempt.is_sent()) && self.abort_attempt(id, attempt) {
+            self.attempt_ended(id, attempt, AttemptResult::without_response(Outcome::NotSent));
+        }
+    }
+
     /// Aborts an attempt: closes its connection before returning, and stops its task. Returns `false` if the attempt is
     /// not in flight, or has ended already and its result is in the event queue.
     pub(super) fn abort_attempt(&self, id: RequestId, attempt: u32) -> bool {
--- a/crates/daemon/src/host/mod.rs
+++ b/crates/daemon/src/host/mod.rs
@@ -199,6 +199,7 @@
                     self.attempt_ended(id, attempt, AttemptResult::without_response(Outcome::Cancelled));
                 }
             }
+            Action::Withdraw { id, attempt } => self.withdraw_attempt(id, attempt),
             Action::IncrementCounter { key, increment, ttl_s } => {
                 self.increment_counter(key, increment, ttl_s);
             }
--- a/crates/daemon/src/host/requests.rs
+++ b/crates/daemon/src/host/requests.rs
@@ -3,10 +3,8 @@
 
 use super::attempts::RunningAttempt;
 use super::Host;
-use crate::events::{
-    Answer, AttemptResult, ForwardedRequest, IncomingRequest, OpenRequestId, ReplySender, RequestKind,
-};
-use liftrouter_decision::{Event, Outcome, Request, RequestId};
+use crate::events::{Answer, ForwardedRequest, IncomingRequest, OpenRequestId, ReplySender, RequestKind};
+use liftrouter_decision::{Event, Request, RequestId};
 use std::rc::Rc;
 
 /// A request that is unanswered or has an attempt in flight.
@@ -100,13 +98,11 @@
         self.remove_if_finished(id);
     }
 
-    /// Aborts the attempt in flight of an answered request if it has not been written completely. The server then never
-    /// executes it, whether it supports cancellation or not. An attempt that is written stays in flight until it ends.
+    /// Aborts the attempt in flight of an answered request if it has not been written completely.
     fn abort_unsent_attempt(&mut self, id: RequestId) {
         let running = self.requests.get(&id).and_then(|open| open.running.as_ref());
-        let Some(attempt) = running.filter(|r| !r.attempt.is_sent()).map(|r| r.number) else { return };
-        if self.abort_attempt(id, attempt) {
-            self.attempt_ended(id, attempt, AttemptResult::without_response(Outcome::NotSent));
+        if let Some(attempt) = running.map(|running| running.number) {
+            self.withdraw_attempt(id, attempt);
         }
     }
 
--- a/crates/daemon/src/relay/tests.rs
+++ b/crates/daemon/src/relay/tests.rs
@@ -29,7 +29,7 @@
         service: service.into(),
         zone: "zone-1".into(),
         machine_type: "large".into(),
-        cell: 3,
+        cell: Some(3),
         lifecycle,
         weight: Some(0.75),
         started_at_ms: Some(1_700_000_000_123.0),
--- a/crates/daemon/tests/common/relays.rs
+++ b/crates/daemon/tests/common/relays.rs
@@ -34,7 +34,7 @@
         service: service.into(),
         zone: "room-a".into(),
         machine_type: "std".into(),
-        cell: 1,
+        cell: Some(1),
         lifecycle: Lifecycle::InService,
         weight: Some(1.0),
         started_at_ms: Some(0.0),
--- a/crates/decision/src/endpoints/endpoint.rs
+++ b/crates/decision/src/endpoints/endpoint.rs
@@ -3,20 +3,15 @@
 use super::class_breaker::ClassBreaker;
 use super::concurrency_limit::ConcurrencyLimit;
 use super::latency::LatencyRatio;
+use super::location::{Location, Relocations, Residence, UpdateNumber};
 use super::outlier_detection::OutlierState;
 use crate::interface::{EndpointEntry, EndpointState};
-use std::sync::Arc;
-
-/// The zone and cell of an endpoint; a deduplication scope restricts retries to one of them.
-#[derive(Clone)]
-pub struct Location {
-    pub zone: Arc<str>,
-    pub cell: i64,
-}
+use std::net::SocketAddr;
 
 /// An endpoint: its entry in the endpoint list, and the state derived from the attempts sent to it.
 pub struct Endpoint {
-    pub location: Location,
+    pub residence: Residence,
+    pub address: Option<SocketAddr>,
     /// Capacity relative to other endpoints.
     pub weight: f64,
     pub state: EndpointState,
@@ -35,10 +30,11 @@
 }
 
 impl Endpoint {
-    /// A new endpoint without attempts. The caller sets state and weight from the entry.
-    pub fn new(entry: &EndpointEntry, instance_count: u32, now: f64) -> Self {
+    /// A new endpoint without attempts. The caller sets address, state and weight from the entry.
+    pub fn new(entry: &EndpointEntry, residence: Residence, instance_count: u32, now: f64) -> Self {
         Endpoint {
-            location: Location { zone: entry.zone.clone(), cell: entry.cell },
+            residence,
+            address: None,
             weight: 0.0,
             state: EndpointState::default(),
             started_at: entry.started_at,
@@ -52,6 +48,27 @@
         }
     }
 
+    /// Takes over zone, cell and address from an entry. Apart from these nothing changes for an endpoint that
+    /// only moves. The caller sets the state afterwards.
+    pub fn relocate(&mut self, entry: &EndpointEntry, update: UpdateNumber, relocations: &mut Relocations) {
+        let location = Location::of(entry);
+        let is_removal = entry.state == EndpointState::Removed;
+        if is_removal && !location.is_complete() {
+            return;
+        }
+        let is_listed_anew = self.state == EndpointState::Removed && !is_removal;
+        if !is_listed_anew && *self.residence.location() == location && self.address == entry.address {
+            return;
+        }
+        if is_listed_anew {
+            self.residence = Residence::new(location.clone(), update);
+        } else {
+            self.residence.move_to(location.clone(), update);
+        }
+        self.address = entry.address;
+        relocations.add(entry, location);
+    }
+
     /// Whether the endpoint list reports it as in service.
     pub fn is_in_service(&self) -> bool {
         self.state == EndpointState::InService
--- a/crates/decision/src/endpoints/endpoint_set.rs
+++ b/crates/decision/src/endpoints/endpoint_set.rs
@@ -5,9 +5,10 @@
 //! `tests/decision/endpoint_list.rs` and `tests/decision/slow_start.rs`.
 
 use super::concurrency_limit::AttemptSample;
-use super::endpoint::{Endpoint, Location};
+use super::endpoint::Endpoint;
 use super::fleet_limit::FleetLimit;
 use super::latency;
+use super::location::{AttemptLocations, Location, Relocations, Residence, UpdateNumber};
 use super::outlier_detection::EjectionBudget;
 use super::slow_start::SlowStartBudget;
 use super::subset::Subset;
@@ -27,6 +28,8 @@
     pub(super) slow_start: SlowStartBudget,
     /// Per class: factor on the limits of endpoints while other endpoints reject the class.
     pub(super) class_limit_factors: Vec<f64>,
+    /// The latest update of the endpoint list.
+    update: UpdateNumber,
 }
 
 /// The fleet's latency objective in seconds: the shortest one of all classes.
@@ -45,46 +48,60 @@
             fleet: FleetLimit::new(instance_count),
             slow_start: SlowStartBudget::new(now),
             class_limit_factors: Vec::new(),
+            update: 0,
         }
     }
 
-    /// Applies a complete endpoint list: endpoints that it does not contain are removed.
-    pub fn apply_list(&mut self, context: Context, entries: &[EndpointEntry]) {
+    /// Applies a complete endpoint list: endpoints that it does not contain are removed. Returns what it
+    /// relocated.
+    pub fn apply_list(&mut self, context: Context, entries: &[EndpointEntry]) -> Relocations {
         let listed: HashSet<&EndpointId> = entries.iter().map(|entry| &entry.id).collect();
         for (_, endpoint) in self.endpoints.iter_mut().filter(|(id, _)| !listed.contains(id)) {
             endpoint.state = EndpointState::Removed;
         }
-        self.apply_changes(context, entries);
+        self.apply_changes(context, entries)
     }
 
-    /// Applies an incremental update; endpoints without an entry are unchanged.
-    pub fn apply_changes(&mut self, context: Context, entries: &[EndpointEntry]) {
+    /// Applies an incremental update; endpoints without an entry are unchanged. Returns what it relocated.
+    pub fn apply_changes(&mut self, context: Context, entries: &[EndpointEntry]) -> Relocations {
+        self.update += 1;
+        let mut relocations = Relocations::default();
         for entry in entries {
-            self.apply_entry(context, entry);
+            self.apply_entry(context, entry, &mut relocations);
         }
         // A removed endpoint is kept while attempts are in flight there.
         self.endpoints
             .retain(|_, endpoint| endpoint.state != EndpointState::Removed || endpoint.in_flight > 0);
         self.subset.reorder(self.endpoints.keys(), context.settings.instance_index);
         self.refresh(context);
+        relocations
     }
 
-    fn apply_entry(&mut self, Context { settings, now }: Context, entry: &EndpointEntry) {
-        let endpoint = self
-            .endpoints
-            .entry(entry.id.clone())
-            .or_insert_with(|| Endpoint::new(entry, settings.instance_count, now));
+    fn apply_entry(
+        &mut self,
+        Context { settings, now }: Context,
+        entry: &EndpointEntry,
+        relocations: &mut Relocations,
+    ) {
+        let update = self.update;
+        let endpoint = self.endpoints.entry(entry.id.clone()).or_insert_with(|| {
+            let residence = Residence::new(Location::of(entry), update);
+            Endpoint::new(entry, residence, settings.instance_count, now)
+        });
         if endpoint.started_at != entry.started_at && entry.started_at.is_some() {
             // A restart resets the endpoint's state, except for its attempts in flight. Recent sends are kept
             // in case only the start time was corrected, so that the slow-start budget is not granted twice.
-            let in_flight = endpoint.in_flight;
+            let (in_flight, state) = (endpoint.in_flight, endpoint.state);
             let slow_start_sends = std::mem::take(&mut endpoint.slow_start_sends);
+            let residence = endpoint.residence.clone();
             *endpoint = Endpoint {
+                state,
                 in_flight,
                 slow_start_sends,
-                ..Endpoint::new(entry, settings.instance_count, now)
+                ..Endpoint::new(entry, residence, settings.instance_count, now)
             };
         }
+        endpoint.relocate(entry, update, relocations);
         endpoint.state = entry.state;
         endpoint.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
     }
@@ -107,17 +124,17 @@
         self.refresh_slow_start(context);
     }
 
-    /// Counts an attempt as in flight and returns the endpoint's location, or `None` for an unknown endpoint.
+    /// Counts an attempt as in flight and returns where it may run, or `None` for an unknown endpoint.
     pub fn on_attempt_started(
         &mut self,
         Context { settings, now }: Context,
         id: &EndpointId,
-    ) -> Option<Location> {
+    ) -> Option<AttemptLocations> {
         let endpoint = self.endpoints.get_mut(id)?;
         endpoint.in_flight += 1;
         self.fleet.on_attempt_started();
         endpoint.note_slow_start_send(settings, now);
-        Some(endpoint.location.clone())
+        Some(AttemptLocations::new(endpoint.residence.location().clone(), endpoint.address, self.update))
     }
 
     /// Stops counting an attempt as in flight.
--- a/crates/decision/src/endpoints/mod.rs
+++ b/crates/decision/src/endpoints/mod.rs
@@ -10,13 +10,14 @@
 mod endpoint_set;
 mod fleet_limit;
 mod latency;
+mod location;
 mod outlier_detection;
 mod selection;
 mod slow_start;
 mod subset;
 
 pub use concurrency_limit::AttemptSample;
-pub use endpoint::Location;
 pub use endpoint_set::EndpointSet;
 pub use latency::AttemptStatus;
-pub use selection::{Constraints, DeduplicationBinding};
+pub use location::{AttemptLocations, Relocations};
+pub use selection::Constraints;
--- a/crates/decision/src/endpoints/selection.rs
+++ b/crates/decision/src/endpoints/selection.rs
@@ -5,8 +5,9 @@
 //! still gets some. Held by `tests/decision/endpoint_selection.rs`, `tests/decision/outlier_detection.rs` and
 //! `tests/decision/class_breaker.rs`.
 
-use super::endpoint::{Endpoint, Location};
+use super::endpoint::Endpoint;
 use super::endpoint_set::{fleet_objective_s, EndpointSet};
+use super::location::AttemptLocations;
 use super::subset::GOLDEN_RATIO_FRACTION;
 use crate::context::Context;
 use crate::interface::{DeduplicationScope, EndpointId};
@@ -22,28 +23,18 @@
 pub struct Constraints<'a> {
     /// Index of the request's class.
     pub class: usize,
-    /// Set once an attempt with an idempotency key may have run.
-    pub binding: Option<DeduplicationBinding<'a>>,
+    /// Deduplication scope of the request's idempotency key.
+    pub scope: DeduplicationScope,
+    /// Where each attempt with the request's key may have run. Only endpoints that recognize the key of all of
+    /// them are permitted.
+    pub may_have_run: Vec<&'a AttemptLocations>,
     /// Endpoints of the earlier attempts.
     pub tried: Vec<&'a EndpointId>,
 }
 
-/// Restricts retries to the endpoints that can recognize the request's idempotency key: those that share the
-/// deduplication scope with the location where it may have run.
-pub struct DeduplicationBinding<'a> {
-    pub scope: DeduplicationScope,
-    pub location: &'a Location,
-}
-
 impl Constraints<'_> {
     fn allow(&self, endpoint: &Endpoint) -> bool {
-        let Some(DeduplicationBinding { scope, location }) = &self.binding else { return true };
-        let is_same_zone = location.zone == endpoint.location.zone;
-        match scope {
-            DeduplicationScope::All => true,
-            DeduplicationScope::Zone => is_same_zone,
-            DeduplicationScope::Cell => is_same_zone && location.cell == endpoint.location.cell,
-        }
+        self.may_have_run.iter().all(|earlier| earlier.key_is_recognized_at(&endpoint.residence, self.scope))
     }
 }
 
@@ -99,7 +90,8 @@
         let &Scoring { context: Context { settings, now }, objective_s, class } = self;
         let capacity = slow_start_factor * endpoint.weight;
         let load = endpoint.latency.decayed(objective_s, now) * f64::from(endpoint.in_flight + 1) / capacity;
-        let zone = if *endpoint.location.zone == *settings.zone { 1.0 } else { CROSS_ZONE_PENALTY };
+        let zone =
+            if *endpoint.residence.location().zone == *settings.zone { 1.0 } else { CROSS_ZONE_PENALTY };
         let slow_attempts = endpoint.class_breaker.slow_attempt_penalty(class, objective_s, now);
         let rejections = endpoint.class_breaker.rejection_penalty(class, objective_s, now);
         let failures = f64::from(1 + endpoint.outlier.consecutive_failures());
@@ -151,6 +143,11 @@
         candidates.selected().cloned()
     }
 
+    /// Whether the constraints permit an attempt at this endpoint, whatever its capacity.
+    pub fn permits(&self, constraints: &Constraints, id: &EndpointId) -> bool {
+        self.endpoints.get(id).is_some_and(|endpoint| constraints.allow(endpoint))
+    }
+
     /// Records for one request whether the fleet's limit is reached, and returns the ratio of requests that
     /// found it reached.
     pub fn update_saturation(&mut self) -> f64 {
--- a/crates/decision/src/interface/action.rs
+++ b/crates/decision/src/interface/action.rs
@@ -41,6 +41,14 @@
         /// The attempt.
         attempt: u32,
     },
+    /// Abort an attempt unless its request is written completely: its endpoint may not recognize the
+    /// idempotency key any more. One that is aborted ends as never sent, any other goes on.
+    Withdraw {
+        /// The request.
+        id: RequestId,
+        /// The attempt.
+        attempt: u32,
+    },
     /// Add to a total of the counter service and read it.
     IncrementCounter {
         /// The counter's key.
--- a/crates/decision/src/interface/endpoint.rs
+++ b/crates/decision/src/interface/endpoint.rs
@@ -1,8 +1,9 @@
 //! Entries of the endpoint list.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Address of an endpoint.
+/// Name of an endpoint.
 pub type EndpointId = Arc<str>;
 
 /// State of an endpoint in the list.
@@ -20,14 +21,17 @@
 /// One entry of the endpoint list.
 #[derive(Clone, Debug)]
 pub struct EndpointEntry {
-    /// Address; identifies the endpoint.
+    /// Identifies the endpoint.
     pub id: EndpointId,
-    /// Zone in which the endpoint runs.
+    /// Where it listens; `None` if the host has no addresses. Another endpoint that is listed with it may have
+    /// received what was sent there before.
+    pub address: Option<SocketAddr>,
+    /// Zone in which the endpoint runs; empty if none is known.
     pub zone: Arc<str>,
     /// Type of machine on which it runs.
     pub machine_type: Arc<str>,
-    /// Cell within the zone.
-    pub cell: i64,
+    /// Cell within the zone; `None` if it is in none.
+    pub cell: Option<i64>,
     /// Whether the endpoint takes requests.
     pub state: EndpointState,
     /// Capacity relative to other endpoints.
--- a/crates/decision/src/limiter.rs
+++ b/crates/decision/src/limiter.rs
@@ -57,8 +57,8 @@
         let Limiter { settings, requests, .. } = self;
         let context = Context { settings, now };
         match event {
-            Event::EndpointList(entries) => requests.endpoints.apply_list(context, &entries),
-            Event::EndpointChanges(entries) => requests.endpoints.apply_changes(context, &entries),
+            Event::EndpointList(entries) => requests.on_endpoint_list(context, &entries, actions),
+            Event::EndpointChanges(entries) => requests.on_endpoint_changes(context, &entries, actions),
             Event::DiscoveryFailed => self.watch_failed = true,
             Event::Request(request) => requests.admit(context, request, actions),
             Event::Authorization(request) => requests.authorize(context, request, actions),
--- a/crates/decision/src/requests/admission.rs
+++ b/crates/decision/src/requests/admission.rs
@@ -8,7 +8,7 @@
 use super::Requests;
 use crate::context::Context;
 use crate::endpoints::Constraints;
-use crate::interface::{Action, EndpointId, Request};
+use crate::interface::{Action, DeduplicationScope, EndpointId, Request};
 use crate::quota::{Demand, QuotaExceeded};
 use crate::timer::Timer;
 
@@ -104,7 +104,8 @@
         {
             return None;
         }
-        let constraints = Constraints { class, binding: None, tried: Vec::new() };
+        let scope = DeduplicationScope::All;
+        let constraints = Constraints { class, scope, may_have_run: Vec::new(), tried: Vec::new() };
         self.endpoints.select(context, &constraints, draw)
     }
 }
--- a/crates/decision/src/requests/attempt.rs
+++ b/crates/decision/src/requests/attempt.rs
@@ -2,13 +2,14 @@
 
 use super::Requests;
 use crate::context::Context;
-use crate::endpoints::Location;
+use crate::endpoints::AttemptLocations;
 use crate::interface::{Action, EndpointId, RequestId};
 
 /// The state of an attempt.
 pub struct Attempt {
     pub endpoint: EndpointId,
-    pub location: Location,
+    /// Where it may run.
+    pub locations: AttemptLocations,
     pub sent_at: f64,
     /// Its end has not been reported yet.
     pub is_in_flight: bool,
@@ -29,11 +30,11 @@
     ) {
         let Context { settings, now } = context;
         let Some(request) = self.in_flight.get_mut(&id) else { return };
-        let Some(location) = self.endpoints.on_attempt_started(context, &endpoint) else { return };
+        let Some(locations) = self.endpoints.on_attempt_started(context, &endpoint) else { return };
         let send_deadline = request.send_deadline(settings);
         request.attempts.push(Attempt {
             endpoint: endpoint.clone(),
-            location,
+            locations,
             sent_at: now,
             is_in_flight: true,
             holds_slot: true,
--- a/crates/decision/src/requests/idempotency.rs
+++ b/crates/decision/src/requests/idempotency.rs
@@ -2,15 +2,16 @@
 //! be rejected after an attempt.
 //!
 //! An idempotent request may always be retried. A request without an idempotency key is retried only if no
-//! attempt may have run. One with a key is retried within its deduplication scope and window, counted from
-//! the first attempt that may have run. What it can get wrong: an attempt counts as run until its outcome
+//! attempt may have run. One with a key is retried at endpoints that recognize it, wherever its earlier
+//! attempts may have run, and within its deduplication window, counted from the first of these attempts. What
+//! it can get wrong: an attempt counts as run until its outcome
 //! proves otherwise, so some retries are not sent although they would be safe. Held by
 //! `tests/decision/retry.rs`.
 
 use super::attempt::Attempt;
 use super::in_flight_request::InFlightRequest;
 use crate::context::Context;
-use crate::endpoints::{Constraints, DeduplicationBinding};
+use crate::endpoints::Constraints;
 use crate::interface::{Class, DeduplicationScope, Idempotency, Settings};
 
 /// Ratio of the deduplication window within which a request may be retried; the rest allows for differences
@@ -20,32 +21,41 @@
 const SEND_MARGIN_TICKS: f64 = 2.0;
 
 impl InFlightRequest {
-    /// For a class with idempotency keys, the first attempt that may have run; the deduplication window
-    /// starts with it.
-    fn first_deduplicated_attempt(&self, class: &Class) -> Option<&Attempt> {
+    /// For a class with idempotency keys, the attempts that may have run, in order of their sending.
+    fn deduplicated_attempts(&self, class: &Class) -> impl Iterator<Item = &Attempt> {
         let has_key = class.idempotency == Idempotency::IdempotencyKey;
-        self.attempts.iter().find(|attempt| attempt.may_have_run && has_key)
+        self.attempts.iter().filter(move |attempt| attempt.may_have_run && has_key)
     }
 
     /// The constraints on the endpoint of the next attempt.
     pub fn constraints(&self, settings: &Settings) -> Constraints<'_> {
         let class = &settings.classes[self.class];
-        let binding = self.first_deduplicated_attempt(class).map(|attempt| DeduplicationBinding {
-            scope: class.deduplication_scope,
-            location: &attempt.location,
-        });
         Constraints {
             class: self.class,
-            binding,
+            scope: class.deduplication_scope,
+            may_have_run: self.deduplicated_attempts(class).map(|attempt| &attempt.locations).collect(),
             tried: self.attempts.iter().map(|attempt| &attempt.endpoint).collect(),
         }
     }
 
+    /// The constraints that the earlier attempts set on the endpoint of the one in flight.
+    pub fn constraints_in_flight(&self, settings: &Settings) -> Constraints<'_> {
+        let class = &settings.classes[self.class];
+        let ended = self.deduplicated_attempts(class).filter(|attempt| !attempt.is_in_flight);
+        Constraints {
+            class: self.class,
+            scope: class.deduplication_scope,
+            may_have_run: ended.map(|attempt| &attempt.locations).collect(),
+            tried: Vec::new(),
+        }
+    }
+
     /// Time by which a further attempt must be written, while the endpoints still recognize the idempotency
     /// key; infinite if no deduplication applies.
     pub fn send_deadline(&self, settings: &Settings) -> f64 {
         let class = &settings.classes[self.class];
-        self.first_deduplicated_attempt(class).map_or(f64::INFINITY, |attempt| {
+        // The deduplication window starts with the first attempt that may have run.
+        self.deduplicated_attempts(class).next().map_or(f64::INFINITY, |attempt| {
             attempt.sent_at + class.deduplication_window_s * USABLE_WINDOW_RATIO
                 - settings.tick_interval_s * SEND_MARGIN_TICKS
         })
--- a/crates/decision/src/requests/mod.rs
+++ b/crates/decision/src/requests/mod.rs
@@ -11,6 +11,7 @@
 mod in_flight_request;
 mod load_shedding;
 mod outcome;
+mod relocation;
 mod retry;
 mod retry_budget;
 mod service_times;
--- a/crates/decision/tests/decision/main.rs
+++ b/crates/decision/tests/decision/main.rs
@@ -13,6 +13,7 @@
 mod quota_accounts;
 mod quota_share;
 mod quota_shared_bucket;
+mod relocation;
 mod request_answers;
 mod retry;
 mod settings;
--- a/crates/decision/tests/decision/support.rs
+++ b/crates/decision/tests/decision/support.rs
@@ -60,9 +60,10 @@
 pub fn endpoint(id: &str, zone: &str, state: EndpointState, started_at: Option<f64>) -> EndpointEntry {
     EndpointEntry {
         id: id.into(),
+        address: None,
         zone: zone.into(),
         machine_type: "std".into(),
-        cell: if zone == "east" { 1 } else { 2 },
+        cell: Some(if zone == "east" { 1 } else { 2 }),
         state,
         weight: 1.0,
         started_at,
--- a/crates/inventory/tests/routing.rs
+++ b/crates/inventory/tests/routing.rs
@@ -39,9 +39,10 @@
 fn entries(inventory: &Inventory) -> Vec<EndpointEntry> {
     let entry = |n: &liftrouter_inventory::Node| EndpointEntry {
         id: n.id.as_str().into(),
+        address: Some(n.address),
         zone: n.zone.as_str().into(),
         machine_type: n.kind.as_str().into(),
-        cell: n.cell.unwrap_or(0),
+        cell: n.cell,
         state: if n.state == State::InService { EndpointState::InService } else { EndpointState::Draining },
         weight: n.weight,
         started_at: n.started_ms.map(|at| at as f64 / 1e3),
--- a/crates/model/src/limiters/actions.rs
+++ b/crates/model/src/limiters/actions.rs
@@ -33,6 +33,13 @@
                     self.attempt_ended(l, key, AttemptEnd::failed(Outcome::Cancelled), events);
                 }
             }
+            Action::Withdraw { id, attempt } => {
+                let running = self.gate(l).running(id);
+                let unsent = |key: &usize| self.attempts[*key].n == attempt && !self.attempts[*key].sent;
+                if let Some(key) = running.filter(unsent) {
+                    self.attempt_ended(l, key, AttemptEnd::failed(Outcome::NotSent), events);
+                }
+            }
             Action::IncrementCounter { key: name, increment: add, ttl_s: lives } => {
                 if let Err(outcome) = self.call(l, &name, add, lives) {
                     events.push_back(Event::CounterReply { key: name, outcome, total: 0.0, elapsed_s: 0.0 });
--- a/crates/model/src/list.rs
+++ b/crates/model/src/list.rs
@@ -27,9 +27,10 @@
         let index = usize::from(self.node);
         EndpointEntry {
             id,
+            address: None,
             zone: rooms[index % rooms.len()].as_str().into(),
             machine_type: "std".into(),
-            cell: cell(index, rooms.len()),
+            cell: Some(cell(index, rooms.len())),
             state: self.server_state(),
             weight: 1.0,
             started_at: self.started,
--- a/crates/scale/src/run/standin/server_list.rs
+++ b/crates/scale/src/run/standin/server_list.rs
@@ -179,7 +179,7 @@
         service: service_name(number % services),
         zone: ZONES[number % ZONES.len()].to_owned(),
         machine_type: "std".to_owned(),
-        cell: 1,
+        cell: Some(1),
         lifecycle: Lifecycle::InService,
         weight: Some(1.0),
         started_at_ms: None,
--- a/crates/scale/src/slopes/workload.rs
+++ b/crates/scale/src/slopes/workload.rs
@@ -67,9 +67,10 @@
     let kind: Arc<str> = "standard-8".into();
     let entry = |index| EndpointEntry {
         id: server_name(index).into(),
+        address: None,
         zone: zones[rng.usize(..zones.len())].clone(),
         machine_type: kind.clone(),
-        cell: rng.usize(..CELLS) as i64,
+        cell: Some(rng.usize(..CELLS) as i64),
         state: EndpointState::InService,
         weight: 1.0,
         started_at: None,
--- a/crates/simulator/src/wire.rs
+++ b/crates/simulator/src/wire.rs
@@ -58,9 +58,10 @@
         };
         self.entries.push(EndpointEntry {
             id: line.required(1, "server")?.into(),
+            address: None,
             zone: line.required(2, "region-part")?.into(),
             machine_type: line.required(3, "flavor")?.into(),
-            cell: line.optional(4).map(|_| line.integer(4, "group")).transpose()?.unwrap_or(0),
+            cell: line.optional(4).map(|_| line.integer(4, "group")).transpose()?,
             state,
             weight: line.optional_number(6, "heft")?.unwrap_or(1.0),
             started_at: line.optional_number(7, "start-time-s")?.filter(|started| *started != 0.0),
@@ -231,6 +232,8 @@
         Action::Reject { id, retry_after_s } => writeln!(output, "SAY_NO {instance} {id} {retry_after_s}"),
         Action::Fail { id } => writeln!(output, "END_FAILED {instance} {id}"),
         Action::Cancel { id, attempt } => writeln!(output, "STOP_ATTEMPT {instance} {id} {attempt}"),
+        // The simulator sends an attempt at once, so that there is nothing to withdraw.
+        Action::Withdraw { .. } => Ok(()),
         Action::IncrementCounter { key, increment, ttl_s } => {
             writeln!(output, "INCR {instance} {key} {increment} {ttl_s}")
         }
