Hold each customer to the plan that its request names, not to its first one

A customer's plan was copied from the first request that this limiter saw and never again while the customer stayed active, so limiters that had seen it at different times kept different quotas. What callers saw, by test: after a change to a smaller plan 10 of 10 requests were served where the burst is 4; after one to a larger plan the smaller one rejected them.

Cause: Quota::ensure_customer set plan_index with a new account alone.

Change: the plan is taken from each request. Levels are kept as far as the new plan can hold them, and units are drawn from what the plan limits, so that a change grants neither a burst nor a full ceiling, and a plan without limits leaves no debt.

--- a/crates/decision/src/quota/customer.rs
+++ b/crates/decision/src/quota/customer.rs
@@ -89,11 +89,33 @@
         plan.burst < self.reachable_instances
     }
 
+    /// Changes the plan from the next request on. This grants no units: those of the former plan are kept as far
+    /// as the new one can hold them, and accrue at its rate from now on. Otherwise a customer could get a burst
+    /// with each change.
+    pub fn change_plan(&mut self, plan_index: usize, plan: &Plan, request_units: f64) {
+        self.plan_index = plan_index;
+        self.bucket.limit_to((plan.burst / self.reachable_instances).max(request_units));
+        self.hard_limit.limit_to(plan.hard_limit_burst / self.reachable_instances);
+        self.shared_bucket.limit_to(plan.burst);
+    }
+
+    /// Draws the units of an admitted request from what the plan limits.
+    pub fn draw(&mut self, plan: &Plan, units: f64) {
+        if plan.rate > 0.0 {
+            self.bucket.draw(units);
+        }
+        if plan.hard_limit_rate > 0.0 {
+            self.hard_limit.draw(units);
+        }
+    }
+
     /// Settles units that were estimated too low (or too high, if negative). The correction is reported to
     /// the counter only while units are accumulated for the next call: at other times a call represents many
     /// requests.
-    pub fn settle(&mut self, correction: f64, now: f64) {
-        self.bucket.draw(correction);
+    pub fn settle(&mut self, plan: &Plan, correction: f64, now: f64) {
+        if plan.rate > 0.0 {
+            self.bucket.draw(correction);
+        }
         let reported = if now < self.next_call_at { correction } else { 0.0 };
         self.unreported.accepted = (self.unreported.accepted + reported).max(0.0);
     }
--- a/crates/decision/src/quota/hard_limit.rs
+++ b/crates/decision/src/quota/hard_limit.rs
@@ -25,6 +25,11 @@
         self.tokens = (self.tokens + rate * elapsed_s).min(burst);
     }
 
+    /// Lowers the level to `units` if it is higher.
+    pub fn limit_to(&mut self, units: f64) {
+        self.tokens = self.tokens.min(units);
+    }
+
     /// Draws units from the share.
     pub fn draw(&mut self, units: f64) {
         self.tokens -= units;
--- a/crates/decision/src/quota/mod.rs
+++ b/crates/decision/src/quota/mod.rs
@@ -25,6 +25,7 @@
 pub use usage_report::Demand;
 
 use crate::context::Context;
+use crate::interface::Settings;
 use counter_health::CounterHealth;
 use customer::Customer;
 use probabilistic_admission::PlanAdmission;
@@ -77,7 +78,8 @@
         self.usable_quota_ratio = ratio.clamp(0.0, 1.0);
     }
 
-    /// Creates the customer's account if there is none, and updates the number of limiters that it can reach.
+    /// Creates the customer's account if there is none, and updates its plan and the number of limiters that it
+    /// can reach.
     ///
     /// # Errors
     ///
@@ -107,6 +109,9 @@
             )
         });
         customer.reachable_instances = reachable_instances;
+        if customer.plan_index != plan_index {
+            customer.change_plan(plan_index, &settings.plans[plan_index], request_units);
+        }
         Ok(())
     }
 
@@ -129,10 +134,9 @@
     }
 
     /// Draws an admitted request's units from the token bucket and the hard limit.
-    pub fn draw(&mut self, id: &Arc<str>, units: f64) {
+    pub fn draw(&mut self, settings: &Settings, id: &Arc<str>, units: f64) {
         if let Some(customer) = self.customers.get_mut(id) {
-            customer.bucket.draw(units);
-            customer.hard_limit.draw(units);
+            customer.draw(&settings.plans[customer.plan_index], units);
         }
     }
 
@@ -144,11 +148,11 @@
     }
 
     /// Counts an attempt as ended. `correction` is the true units of the request less the estimated ones.
-    pub fn on_attempt_ended(&mut self, Context { now, .. }: Context, id: &Arc<str>, correction: f64) {
+    pub fn on_attempt_ended(&mut self, Context { settings, now }: Context, id: &Arc<str>, correction: f64) {
         if let Some(customer) = self.customers.get_mut(id) {
             customer.in_flight = customer.in_flight.saturating_sub(1);
             if correction != 0.0 {
-                customer.settle(correction, now);
+                customer.settle(&settings.plans[customer.plan_index], correction, now);
             }
         }
     }
--- a/crates/decision/src/quota/shared_bucket.rs
+++ b/crates/decision/src/quota/shared_bucket.rs
@@ -32,6 +32,11 @@
         self.level
     }
 
+    /// Lowers the level to `units` if it is higher.
+    pub fn limit_to(&mut self, units: f64) {
+        self.level = self.level.min(units);
+    }
+
     /// Updates the level by the units that all limiters drew since the previous reply, or since the start of
     /// the epoch if that is later. The draws are assumed to be spread evenly over that time.
     pub fn update(
--- a/crates/decision/src/quota/token_bucket.rs
+++ b/crates/decision/src/quota/token_bucket.rs
@@ -42,6 +42,11 @@
         self.tokens -= units;
     }
 
+    /// Lowers the level to `units` if it is higher.
+    pub fn limit_to(&mut self, units: f64) {
+        self.tokens = self.tokens.min(units);
+    }
+
     /// Raises the level to `units` if it is lower.
     pub fn ensure_at_least(&mut self, units: f64) {
         self.tokens = self.tokens.max(units);
--- a/crates/decision/src/requests/admission.rs
+++ b/crates/decision/src/requests/admission.rs
@@ -67,7 +67,7 @@
             self.reject(context, request.id, self.service_times.overall_mean_s(), actions);
             return None;
         };
-        self.quota.draw(customer, units);
+        self.quota.draw(settings, customer, units);
         let demand = Demand { customer, units, admitted: true };
         self.quota.report_demand(context, &mut self.rng, &demand, actions);
         Some(Admitted { class, endpoint, units })
--- a/crates/decision/tests/decision/main.rs
+++ b/crates/decision/tests/decision/main.rs
@@ -10,6 +10,7 @@
 mod fleet_limit;
 mod limiter;
 mod outlier_detection;
+mod plan_change;
 mod quota_accounts;
 mod quota_share;
 mod quota_shared_bucket;
