Let a member rejoin at once whose wall clock was set back since its former start

What operators saw, in simulated time: a member restarted with its wall clock an hour behind was not back after 120 s, and rejoined 60,000 times meanwhile, each time with datagrams and a line of the log.

Cause: an incarnation begins as the Unix time of the start in milliseconds, and each rejoin raised it by one.

Change: repeated rejoins raise the incarnation by twice as much each time, up to a bound. The format on the wire stays.

Not run with real processes.

--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -29,6 +29,10 @@
 const MAX_HEALTH_SCORE: u32 = 8;
 /// The local health score falls by one after this number of probe periods without a late timer.
 const RECOVERY_PERIODS: Micros = 20;
+/// A rejoin within this number of probe periods after the previous one is a repeated one.
+const REPEATED_REJOIN_PERIODS: Micros = 20;
+/// The most by which one rejoin raises the incarnation, in milliseconds: about two years.
+const MAX_REJOIN_STEP_MS: u64 = 1 << 36;
 
 /// Identifies one process of a member. The order of the fields is the format on the wire.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -39,7 +43,7 @@
     pub address: SocketAddr,
     /// Random number drawn at each start; distinguishes processes with the same name.
     pub instance: u64,
-    /// Unix time of the start in milliseconds, plus one for each rejoin. Of two identities at one address, the one with the
+    /// Unix time of the start in milliseconds, plus one or more for each rejoin. Of two identities at one address, the one with the
     /// higher incarnation is the newer.
     pub incarnation: u64,
 }
@@ -149,6 +153,10 @@
     health_score: u32,
     /// When the health score last changed or timers were last postponed.
     health_changed_at: Micros,
+    /// When this process last rejoined.
+    rejoined_at: Option<Micros>,
+    /// By how much the latest rejoin raised the incarnation.
+    rejoin_step_ms: u64,
 }
 
 impl Gossip {
@@ -165,6 +173,8 @@
             last_timer: 0,
             health_score: 0,
             health_changed_at: 0,
+            rejoined_at: None,
+            rejoin_step_ms: 1,
         }
     }
 
@@ -202,13 +212,37 @@
             self.last_timer += 1;
             self.timers.insert((now + delay.as_micros() as Micros, self.last_timer), timer);
         }
-        for event in &effects.events {
-            if let GossipEvent::Rejoined(identity) = event {
-                self.identity = identity.clone();
-            }
-        }
+        let rejoined = effects.events.iter().rev().find_map(|event| match event {
+            GossipEvent::Rejoined(identity) => Some(identity.clone()),
+            _ => None,
+        });
         output.outgoing.extend(effects.outgoing);
         output.events.extend(effects.events);
+        if let Some(identity) = rejoined {
+            self.identity = identity;
+            self.raise_incarnation(now, output);
+        }
+    }
+
+    /// Raises the incarnation further after repeated rejoins, by twice as much each time. Otherwise a process whose wall
+    /// clock was set back since an earlier process at its address started would rejoin once for each millisecond of that.
+    fn raise_incarnation(&mut self, now: Micros, output: &mut GossipOutput) {
+        let repeated_within = REPEATED_REJOIN_PERIODS * self.settings.probe_period.as_micros() as Micros;
+        let is_repeated = self.rejoined_at.is_some_and(|at| now <= at + repeated_within);
+        self.rejoined_at = Some(now);
+        if !is_repeated {
+            self.rejoin_step_ms = 1;
+            return;
+        }
+        self.rejoin_step_ms = (self.rejoin_step_ms * 2).min(MAX_REJOIN_STEP_MS);
+        let incarnation = self.identity.incarnation.saturating_add(self.rejoin_step_ms);
+        let identity = MemberIdentity { incarnation, ..self.identity.clone() };
+        let mut effects = Effects::default();
+        // The library only rejects an identity that is not new.
+        if self.foca.change_identity(identity.clone(), &mut effects).is_ok() {
+            self.identity = identity;
+            self.apply(now, effects, output);
+        }
     }
 
     /// Announces this process to an address where a member may listen.
--- a/crates/cluster/tests/cluster.rs
+++ b/crates/cluster/tests/cluster.rs
@@ -275,6 +275,33 @@
     assert_eq!(table.iter().map(|row| row.assigned_shards).sum::<usize>(), 10);
 }
 
+/// Guards against a member that the others take for its former process for as long as its wall clock had been set back.
+#[test]
+fn a_member_that_restarts_with_its_wall_clock_set_back_rejoins() {
+    const HOUR_MS: u64 = 3_600_000;
+    const MAX_REJOINS: usize = 40;
+    for others_know_that_it_ended in [true, false] {
+        let mut world = cluster(5, 10, 14);
+        let statuses =
+            |w: &World| w.nodes[0].member.as_ref().map(|m| m.members(w.clock(0))).unwrap_or_default();
+        world.kill(4);
+        if others_know_that_it_ended {
+            let is_gone = |w: &World| statuses(w).iter().any(|row| row.state == MemberState::Down);
+            world.run_until(20 * SECOND, is_gone).expect("gone");
+        }
+        world.start_with_wall_clock(4, 1_800_000_000_000 - HOUR_MS);
+        let member = world.nodes[4].member.as_ref().expect("running");
+        let instance = member.identity().instance;
+        let is_back = |w: &World| {
+            statuses(w).iter().any(|row| row.identity.instance == instance && row.state == MemberState::Alive)
+        };
+        world.run_until(20 * SECOND, is_back).expect("it is back");
+        let rejoined = |(_, notification): &&(_, Notification)| *notification == Notification::Rejoined;
+        let rejoins = world.nodes[4].notifications.iter().filter(rejoined).count();
+        assert!(rejoins <= MAX_REJOINS, "{rejoins} rejoins");
+    }
+}
+
 #[test]
 fn an_invalid_datagram_is_reported_and_changes_nothing() {
     let mut world = cluster(3, 4, 15);
--- a/crates/cluster/tests/common/world.rs
+++ b/crates/cluster/tests/common/world.rs
@@ -100,6 +100,11 @@
     }
 
     pub fn start(&mut self, n: usize) {
+        self.start_with_wall_clock(n, 1_800_000_000_000 + self.now / 1_000);
+    }
+
+    /// Starts a member whose wall clock shows this Unix time in milliseconds.
+    pub fn start_with_wall_clock(&mut self, n: usize, unix_ms: u64) {
         let settings = Settings {
             name: format!("n{n}"),
             address: address(n),
@@ -110,7 +115,7 @@
             lease: self.lease,
         };
         let (clock, instance) = (self.clock(n), self.rng.u64(1..));
-        let member = ClusterMember::new(settings, instance, clock, 1_800_000_000_000 + self.now / 1_000);
+        let member = ClusterMember::new(settings, instance, clock, unix_ms);
         let node = &mut self.nodes[n];
         node.member = Some(member.expect("settings"));
         (node.starts, node.paused, node.scheduled_wake) = (node.starts + 1, false, Micros::MAX);
