--- a/crates/decision/tests/decision/plan_change.rs
+++ b/crates/decision/tests/decision/plan_change.rs
@@ -1,6 +1,7 @@
 //! Customers whose requests name another plan than before.
 
 use crate::support::*;
+use liftrouter_decision::Plan;
 
 /// Guards against a customer that keeps the limits, or the freedom, of the plan that its first request named.
 #[test]
@@ -43,3 +44,14 @@
         assert!(host.serve("c", "hard", 1.0), "it fills at its rate");
     }
 }
+
+/// Guards against a burst of the larger plan after a change to a smaller one.
+#[test]
+fn a_smaller_plan_keeps_no_more_than_it_can_hold() {
+    let mut settings = settings();
+    let plain = settings.plans.iter().find(|plan| &*plan.name == "plain").expect("the plan").clone();
+    settings.plans.push(Plan { name: "large".into(), rate: 100.0, burst: 200.0, ..plain });
+    let mut host = Host::new(settings);
+    assert!(host.serve("c", "large", 1.0));
+    assert_eq!(host.drain_bucket("c", "plain"), 10);
+}
