--- a/crates/decision/src/endpoints/location.rs
+++ b/crates/decision/src/endpoints/location.rs
@@ -25,6 +25,7 @@
 }
 
 impl Location {
+    /// The location that an entry of the list names.
     pub fn of(entry: &EndpointEntry) -> Self {
         Location { zone: entry.zone.clone(), cell: entry.cell }
     }
@@ -60,6 +61,7 @@
         Residence { location, zone_since: since, cell_since: since }
     }
 
+    /// The present location.
     pub fn location(&self) -> &Location {
         &self.location
     }
@@ -129,6 +131,7 @@
 }
 
 impl Relocations {
+    /// Adds the endpoint of this entry with its new location.
     pub fn add(&mut self, entry: &EndpointEntry, location: Location) {
         if let Some(address) = entry.address {
             self.by_address.entry(address).or_default().push(location.clone());
@@ -136,6 +139,7 @@
         self.by_id.insert(entry.id.clone(), location);
     }
 
+    /// Whether the update relocated no endpoint.
     pub fn is_empty(&self) -> bool {
         self.by_id.is_empty()
     }
