--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -397,6 +397,13 @@
     file
 }
 
+/// Replaces a file by another with this text in one step.
+pub fn rename_over(file: &std::path::Path, text: &str) {
+    let new = file.with_extension("new");
+    std::fs::write(&new, text).expect("write");
+    std::fs::rename(new, file).expect("rename");
+}
+
 pub fn command() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_liftrouter"));
     for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG"] {
@@ -592,9 +599,7 @@
         let mut config = self.config.clone();
         config["discovery"] = json!(discovery.to_string());
         config["counter"] = json!(counter.to_string());
-        let new = self.file.with_extension("new");
-        std::fs::write(&new, config.to_string()).expect("write");
-        std::fs::rename(&new, &self.file).expect("rename");
+        rename_over(&self.file, &config.to_string());
         self.signal("-HUP");
     }
 
--- a/crates/daemon/tests/inventory.rs
+++ b/crates/daemon/tests/inventory.rs
@@ -39,12 +39,6 @@
     text
 }
 
-fn rename_over(file: &Path, text: &str) {
-    let new = file.with_extension("new");
-    std::fs::write(&new, text).expect("write");
-    std::fs::rename(new, file).expect("rename");
-}
-
 /// Sends a request and returns the response body: the name of the server and the inventory version of the request.
 fn served_by(limiter: &Limiter) -> String {
     let answer = limiter.client().ask(&quote("roomy", 1_500));
--- a/crates/daemon/tests/moved_servers/installation.rs
+++ b/crates/daemon/tests/moved_servers/installation.rs
@@ -8,8 +8,8 @@
 use liftrouter_catalog::{Instance, Lifecycle, Update};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 const FIRST_REVISION: u64 = 10;
@@ -76,16 +76,10 @@
     )
 }
 
-fn rename_over(file: &Path, text: &str) {
-    let new = file.with_extension("new");
-    std::fs::write(&new, text).expect("write");
-    std::fs::rename(new, file).expect("rename");
-}
-
 /// How a test changes the list of a limiter.
 enum List {
-    Inventory { file: PathBuf, version: AtomicU64 },
-    Watch { discovery: Fake, revision: AtomicU64 },
+    Inventory { file: PathBuf, version: u64 },
+    Watch { discovery: Fake, revision: u64 },
     Relays { discovery: ServiceDiscovery, _relay: Relay },
     Regions { near: ServiceDiscovery, far: ServiceDiscovery, _relays: [Relay; 2] },
 }
@@ -123,13 +117,13 @@
         let operator = temp_file(&format!("[inventory]\ncsv = '{}'\n", file.display()));
         // Nothing listens at the discovery address.
         let limiter = Limiter::with_operator(&operator, settings, ([127, 0, 0, 1], 9).into());
-        (limiter, List::Inventory { file, version: AtomicU64::new(1) })
+        (limiter, List::Inventory { file, version: 1 })
     }
 
     fn with_watch(settings: Value, servers: &[Instance]) -> (Limiter, List) {
         let discovery = discovery(json_of(servers));
         let limiter = Limiter::start(settings, &discovery, counter().address);
-        (limiter, List::Watch { discovery, revision: AtomicU64::new(FIRST_REVISION) })
+        (limiter, List::Watch { discovery, revision: FIRST_REVISION })
     }
 
     /// With a relay whose watch loses the delta of the next change if `loses_delta` is set.
@@ -166,14 +160,14 @@
             self.listed.retain(|listed| listed.instance_id != instance.instance_id);
             self.listed.push(instance.clone());
         }
-        match &self.list {
+        match &mut self.list {
             List::Inventory { file, version } => {
-                let version = version.fetch_add(1, Ordering::SeqCst) + 1;
-                rename_over(file, &csv(version, &self.listed));
+                *version += 1;
+                rename_over(file, &csv(*version, &self.listed));
             }
             List::Watch { discovery, revision } => {
-                let revision = revision.fetch_add(1, Ordering::SeqCst) + 1;
-                discovery.push(&chunk(&update(revision, false, &json_of(changed))));
+                *revision += 1;
+                discovery.push(&chunk(&update(*revision, false, &json_of(changed))));
             }
             List::Relays { discovery, .. } => {
                 discovery.put_all(changed.to_vec());
